--- a/crates/oleanderpost-serving/src/admin.rs
+++ b/crates/oleanderpost-serving/src/admin.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 use tokio::{net::TcpListener, time::sleep};
 
-use crate::{AnswerBody, Entry, Error, Result, SchedulerHost, front::bind};
+use crate::{AnswerBody, Entry, Error, Result, SchedulerHost, front::{bind, local_address}};
 
 /// Longest time that a connection may stay idle.
 const IDLE: Duration = Duration::from_secs(30);
@@ -52,6 +52,15 @@
         })
     }
 
+    /// Address that is bound.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Listen`] when the operating system does not tell it.
+    pub fn address(&self) -> Result<SocketAddr> {
+        local_address(&self.listener)
+    }
+
     /// Accepts connections, for ever.
     pub async fn run(self) {
         let this = Arc::new(self);
--- a/crates/oleanderpost-serving/src/discovery.rs
+++ b/crates/oleanderpost-serving/src/discovery.rs
@@ -85,11 +85,7 @@
         match self.position {
             Some(after) => {
                 // After a failure a short question tells at once whether the store is back.
-                let wait = if self.failures == 0 {
-                    WATCH_WAIT
-                } else {
-                    Duration::ZERO
-                };
+                let wait = if self.failures == 0 { self.watch_wait() } else { Duration::ZERO };
                 let asked = timeout(wait + WATCH_EXTRA, self.source.changes(after, wait)).await;
                 Ok((asked.map_err(late("await changes"))??, false))
             }
@@ -100,6 +96,13 @@
         }
     }
 
+    /// Time for which the next question about changes waits: no longer than the patience with missing entries.
+    fn watch_wait(&self) -> Duration {
+        let now = BootTime::now();
+        let patience = self.patience.filter(|until| *until > now);
+        patience.map_or(WATCH_WAIT, |until| until.since(now).min(WATCH_WAIT))
+    }
+
     async fn note_failure(&mut self, e: &DiscoveryError) {
         if self.failures == 0 {
             spdlog::warn!("store lost", kv: { error: = e, revision = self.position.unwrap_or(0) });
--- a/crates/oleanderpost-serving/src/front.rs
+++ b/crates/oleanderpost-serving/src/front.rs
@@ -57,6 +57,15 @@
         })
     }
 
+    /// Address that is bound.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Listen`] when the operating system does not tell it.
+    pub fn address(&self) -> Result<SocketAddr> {
+        local_address(&self.listener)
+    }
+
     /// Accepts connections, for ever.
     pub async fn run(self) {
         loop {
@@ -125,6 +134,12 @@
     socket.listen(BACKLOG)
 }
 
+/// Address that a listener is bound to.
+pub(crate) fn local_address(listener: &TcpListener) -> Result<SocketAddr> {
+    let unbound = SocketAddr::from(([0, 0, 0, 0], 0));
+    listener.local_addr().map_err(|source| Error::Listen { address: unbound, source })
+}
+
 impl Entry {
     fn limits(&self) -> CallerLimits {
         self.state
--- a/crates/oleanderpost-serving/src/node.rs
+++ b/crates/oleanderpost-serving/src/node.rs
@@ -1,6 +1,7 @@
 //! [`Node`].
 
 use std::{
+    net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -49,6 +50,8 @@
     host: Arc<SchedulerHost>,
     links: Links<SchedulerMessage>,
     settings: Mutex<Settings>,
+    callers: SocketAddr,
+    admin: SocketAddr,
     tasks: JoinSet<()>,
 }
 
@@ -93,6 +96,7 @@
             settings.descriptors,
         )?;
         let admin = Admin::open(settings.admin_listen, Arc::clone(&entry), Arc::clone(&host))?;
+        let (callers, admin_address) = (front.address()?, admin.address()?);
         let changed = Arc::new(Notify::new());
         let discovery = Discovery::new(platform.source, Arc::clone(&state), Arc::clone(&changed));
         let mut tasks = JoinSet::new();
@@ -115,10 +119,30 @@
             host,
             links: links.links,
             settings: Mutex::new(settings.clone()),
+            callers,
+            admin: admin_address,
             tasks,
         })
     }
 
+    /// Address for callers.
+    #[must_use]
+    pub fn callers_address(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Address for operators.
+    #[must_use]
+    pub fn admin_address(&self) -> SocketAddr {
+        self.admin
+    }
+
+    /// What the node knows.
+    #[must_use]
+    pub fn state(&self) -> &Arc<NodeState> {
+        &self.state
+    }
+
     /// Takes in changed settings: seeds at once; the others need a new start, and are named in the log.
     pub fn reload(&self, settings: Settings) {
         let mut present = self.settings.lock().unwrap_or_else(PoisonError::into_inner);
