--- a/crates/oleanderpost-serving/src/front.rs
+++ b/crates/oleanderpost-serving/src/front.rs
@@ -16,7 +16,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
-    time::sleep,
+    time::{sleep, timeout},
 };
 
 use crate::{AnswerBody, CallerLimits, Entry, Error, Result};
@@ -25,6 +25,9 @@
 const BACKLOG: u32 = 1_024;
 /// Share of the descriptors that connections of callers may take.
 const CALLER_SHARE: f64 = 0.6;
+/// Longest time for which connections wait for the first configuration: half of what callers allow for a
+/// new connection.
+const START_WAIT: Duration = Duration::from_millis(500);
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Least buffer for the head of a request that the HTTP library takes, in bytes.
@@ -67,7 +70,14 @@
     }
 
     /// Accepts connections, for ever.
+    ///
+    /// Right after the start the operating system holds connections until the configuration is known: a
+    /// refusal would cost callers a try for the sake of some milliseconds.
     pub async fn run(self) {
+        let known = timeout(START_WAIT, self.entry.state.wait_until_known()).await;
+        if known.is_err() {
+            spdlog::warn!("serving without a configuration", kv: { waited_ms = START_WAIT.as_millis() as u64 });
+        }
         loop {
             match self.listener.accept().await {
                 Ok((stream, _)) if self.open.load(Ordering::Relaxed) >= self.most => {
--- a/crates/oleanderpost-serving/src/node_state.rs
+++ b/crates/oleanderpost-serving/src/node_state.rs
@@ -6,6 +6,7 @@
 };
 
 use arc_swap::ArcSwapOption;
+use tokio::sync::Notify;
 
 use crate::{BootTime, Deployment, Directory, Drain, Evidence, ServiceName, Upstream, UpstreamId};
 
@@ -16,6 +17,8 @@
     evidence: Mutex<Evidence>,
     evidence_limit: Duration,
     drain: OnceLock<Drain>,
+    /// Wakes those that wait for the first configuration.
+    known: Notify,
 }
 
 impl NodeState {
@@ -28,6 +31,7 @@
             evidence: Mutex::default(),
             evidence_limit,
             drain: OnceLock::new(),
+            known: Notify::new(),
         }
     }
 
@@ -50,9 +54,18 @@
             version = deployment.version(), before = old.map_or(0, |old| old.version())
         });
         self.deployment.store(Some(Arc::new(deployment)));
+        self.known.notify_waiters();
         true
     }
 
+    /// Waits until there is a configuration.
+    pub async fn wait_until_known(&self) {
+        let known = self.known.notified();
+        if self.deployment.load().is_none() {
+            known.await;
+        }
+    }
+
     /// Notes that the store answered a question sent at `asked_at`, and that its answer was taken in.
     pub fn confirm(&self, asked_at: BootTime) {
         self.evidence
--- a/crates/oleanderpost-serving/src/reservations.rs
+++ b/crates/oleanderpost-serving/src/reservations.rs
@@ -19,6 +19,13 @@
 /// Tries at giving memory back.
 const RELEASE_TRIES: u32 = 3;
 
+/// An engine did not set memory aside.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct NotReserved {
+    pub(crate) engine: SocketAddr,
+    pub(crate) cause: String,
+}
+
 /// Memory set aside on several engines for one prompt. Dropped, it is given back.
 pub(crate) struct Reservations {
     control: Arc<dyn EngineControl>,
@@ -34,7 +41,7 @@
         id: WorkId,
         tokens: u64,
         longest: Duration,
-    ) -> Result<Self, String> {
+    ) -> Result<Self, NotReserved> {
         let hold = HOLD.min(longest);
         let orders = engines
             .iter()
@@ -53,8 +60,9 @@
             held,
             renewal,
         };
-        for task in tasks {
-            task.await.map_err(|e| e.to_string())??;
+        for (task, engine) in tasks.into_iter().zip(engines) {
+            let reserved = task.await.map_err(|e| e.to_string()).flatten();
+            reserved.map_err(|cause| NotReserved { engine: *engine, cause })?;
         }
         Ok(reservations)
     }
--- a/crates/oleanderpost-serving/src/scheduler_client.rs
+++ b/crates/oleanderpost-serving/src/scheduler_client.rs
@@ -27,9 +27,7 @@
 /// Pause between two signs of life.
 const ATTEND_EVERY: Duration = Duration::from_millis(500);
 /// Time for which a scheduler that did not answer is passed over.
-const PASS_OVER: Duration = Duration::from_millis(1_000);
-/// Most failed tries after which a scheduler is still tried at each sign of life.
-const BACKOFF_STEPS: u32 = 3;
+const PASS_OVER: Duration = Duration::from_millis(700);
 
 /// A request that waits for a decision.
 struct Waiter {
@@ -43,7 +41,7 @@
 struct ClientState {
     waiting: HashMap<WorkId, Waiter>,
     held: HashMap<WorkId, HeldWork>,
-    passed_over: HashMap<VmId, (Instant, u32)>,
+    passed_over: HashMap<VmId, Instant>,
 }
 
 /// Asks the scheduler of the fleet where requests are to run.
@@ -236,7 +234,7 @@
             state
                 .passed_over
                 .get(seed)
-                .is_some_and(|(until, _)| Instant::now() < *until)
+                .is_some_and(|until| Instant::now() < *until)
         };
         let mut order: Vec<_> = self
             .seeds
@@ -257,12 +255,7 @@
             return;
         }
         let mut state = self.lock();
-        let entry = state
-            .passed_over
-            .entry(seed.clone())
-            .or_insert((Instant::now(), 0));
-        entry.1 = (entry.1 + 1).min(BACKOFF_STEPS);
-        entry.0 = Instant::now() + PASS_OVER * entry.1;
+        state.passed_over.insert(seed.clone(), Instant::now() + PASS_OVER);
         drop(state);
         if *self.leader.borrow() == *seed {
             let next = self.order().into_iter().next();
--- a/crates/oleanderpost-serving/src/stream_task.rs
+++ b/crates/oleanderpost-serving/src/stream_task.rs
@@ -6,7 +6,7 @@
 use http::{Response, StatusCode, response::Parts};
 use tokio::{
     sync::mpsc,
-    time::{Instant, timeout},
+    time::{Instant, sleep, timeout},
 };
 
 use crate::{
@@ -37,6 +37,8 @@
 const COME_BACK: Duration = Duration::from_millis(300);
 /// Times that a request with memory set aside is planned anew when an engine refuses.
 const PLANS: u32 = 4;
+/// Pause before it is planned anew.
+const PLAN_PAUSE: Duration = Duration::from_millis(40);
 
 /// The open stream of one attempt.
 struct OpenStream {
@@ -70,6 +72,8 @@
     _progress: Progress,
     attempts: Attempts,
     tried: Vec<UpstreamId>,
+    /// Engines that had no memory to set aside.
+    full: Vec<UpstreamId>,
     /// Last event passed on.
     last_event: Option<u64>,
     events: u64,
@@ -86,6 +90,7 @@
             _progress: progress,
             attempts: Attempts::default(),
             tried: Vec::new(),
+            full: Vec::new(),
             last_event,
             events: 0,
             numbered: true,
@@ -230,9 +235,14 @@
                         Some(held),
                     ));
                 }
-                Err(cause) => {
-                    spdlog::info!("memory not reserved", kv: { request: = self.call.head.id, cause = cause.as_str() });
+                Err(e) => {
+                    spdlog::info!("memory not reserved", kv: {
+                        request: = self.call.head.id, engine: = e.engine, cause = e.cause.as_str()
+                    });
                     lease.close(WorkEnd::Cancelled);
+                    let refusing = std::iter::once(&upstream).chain(&found).find(|u| u.address == e.engine);
+                    self.full.extend(refusing.map(|upstream| upstream.id.clone()));
+                    sleep(PLAN_PAUSE).await;
                 }
             }
         }
@@ -265,7 +275,7 @@
             deadline_ms: left(self.call.limit()),
             priority: self.call.priority(),
             data_centre: self.entry.data_centre.clone(),
-            excluded: self.tried.clone(),
+            excluded: self.tried.iter().chain(&self.full).cloned().collect(),
         }
     }
 
