Log lines of placements within a budget, and oleanderpost explain

One line each for placement, refusal, wait, attempt, end; at most 150 lines a second about requests, with a count of what was left out. explain tells a request's story across nodes, schedulers' lines included.

--- a/crates/oleanderpost-cli/src/app.rs
+++ b/crates/oleanderpost-cli/src/app.rs
@@ -5,7 +5,9 @@
 use clap::CommandFactory;
 use clap_complete::{Shell, generate};
 
-use crate::{Args, Result, args::Command, check, demo, dump, load, plan, stand_in, status};
+use crate::{
+    Args, Result, args::Command, check, demo, dump, explain, load, plan, stand_in, status,
+};
 
 /// Carries out a command; `false` if its answer is no.
 ///
@@ -19,6 +21,7 @@
         Command::Status(args) => status::run(&args).await,
         Command::Wait(args) => status::wait(&args).await,
         Command::Dump(args) => dump::run(&args).await,
+        Command::Explain(args) => explain::run(&args),
         Command::Load(args) => load::run(*args).await,
         Command::StandIn(args) => stand_in::run(args).await,
         Command::Demo(args) => demo::run(&args).await,
--- a/crates/oleanderpost-cli/src/args.rs
+++ b/crates/oleanderpost-cli/src/args.rs
@@ -4,7 +4,8 @@
 use clap_complete::Shell;
 
 use crate::{
-    CheckArgs, DemoArgs, DumpArgs, LoadArgs, PlanArgs, StatusArgs, WaitArgs, stand_in::StandInArgs,
+    CheckArgs, DemoArgs, DumpArgs, ExplainArgs, LoadArgs, PlanArgs, StatusArgs, WaitArgs,
+    stand_in::StandInArgs,
 };
 
 /// Operators' command line of oleanderpost.
@@ -35,6 +36,8 @@
     Wait(WaitArgs),
     /// Show the state of a node.
     Dump(DumpArgs),
+    /// Tell the story of one request from the logs of nodes.
+    Explain(ExplainArgs),
     /// Send requests at a fixed rate and report the time to first token by prompt length.
     Load(Box<LoadArgs>),
     /// Run a stand-in for a system that oleanderpost serves.
--- a/crates/oleanderpost-cli/src/lib.rs
+++ b/crates/oleanderpost-cli/src/lib.rs
@@ -29,6 +29,7 @@
 mod ending;
 mod error;
 mod exit_status;
+mod explain;
 mod http_client;
 mod load;
 mod load_account;
@@ -55,6 +56,7 @@
     dump::DumpArgs,
     error::{Error, Result},
     exit_status::ExitStatus,
+    explain::ExplainArgs,
     load_account::LoadAccount,
     load_args::LoadArgs,
     output::Output,
--- a/crates/oleanderpost-serving/src/entry.rs
+++ b/crates/oleanderpost-serving/src/entry.rs
@@ -15,7 +15,7 @@
 use tokio::time::timeout;
 
 use crate::{
-    AnswerBody, BootTime, DataCentreName, Deployment, EngineControl, Metrics, NodeState,
+    AnswerBody, BootTime, DataCentreName, Deployment, EngineControl, LogBudget, Metrics, NodeState,
     PlainBalancer, Rejection, RetryPolicy, Route, SchedulerClient, Settings, UpstreamCodec,
     call::Call, plain_task::PlainTask, stream_task::StreamTask, upstream_client::UpstreamClient,
 };
@@ -39,6 +39,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) data_centre: DataCentreName,
     pub(crate) reservation_max: Duration,
+    log: LogBudget,
     body_memory: usize,
     body_bytes: AtomicUsize,
     in_progress: AtomicUsize,
@@ -70,6 +71,7 @@
             metrics: Metrics::new(),
             data_centre: settings.data_centre(),
             reservation_max: settings.reservation_max(),
+            log: LogBudget::new(BootTime::now()),
             body_memory: (memory * BODY_MEMORY_SHARE) as usize,
             body_bytes: AtomicUsize::new(0),
             in_progress: AtomicUsize::new(0),
@@ -88,8 +90,16 @@
         self.in_progress.load(Ordering::Acquire)
     }
 
+    /// Whether a line about a request may be written to the log.
+    pub(crate) fn logs(&self) -> bool {
+        self.log.admits(BootTime::now())
+    }
+
     /// Forgets what belongs to upstreams that are gone.
     pub fn tidy(&self) {
+        if let Some(lines) = self.log.take_left_out(BootTime::now()) {
+            spdlog::warn!("lines about requests left out of the log", kv: { lines });
+        }
         let directory = self.state.directory().clone();
         self.client.pool.retain(|id| directory.is_usable(id));
         self.balancer.retain(|id| directory.get(id).is_some());
--- a/crates/oleanderpost-serving/src/lib.rs
+++ b/crates/oleanderpost-serving/src/lib.rs
@@ -47,6 +47,7 @@
 mod grant;
 mod lease;
 mod light_demand;
+mod log_budget;
 mod metrics;
 mod node;
 mod node_state;
@@ -105,6 +106,7 @@
     front::Front,
     grant::Grant,
     lease::Lease,
+    log_budget::LogBudget,
     metrics::Metrics,
     node::{Node, PlatformParts},
     node_state::NodeState,
--- a/crates/oleanderpost-serving/src/plain_balancer.rs
+++ b/crates/oleanderpost-serving/src/plain_balancer.rs
@@ -60,9 +60,8 @@
             distance + load.map_or(0.0, |load| load.cost(now))
         };
         let open = |upstream: &&Arc<Upstream>| {
-            !loads
-                .get(&upstream.id)
-                .is_some_and(|load| load.excluded_until > now)
+            let load = loads.get(&upstream.id);
+            load.is_none_or(|load| load.excluded_until <= now)
         };
         let fresh: Vec<_> = usable.iter().filter(|u| !tried.contains(&u.id)).collect();
         let sound: Vec<_> = fresh.iter().copied().filter(open).collect();
--- a/crates/oleanderpost-serving/src/plain_task.rs
+++ b/crates/oleanderpost-serving/src/plain_task.rs
@@ -140,6 +140,9 @@
         } else if e.step != "check" {
             self.entry.balancer.note_error(e, BootTime::now());
         }
+        if !self.entry.logs() {
+            return;
+        }
         spdlog::info!("attempt failed", kv: {
             request: = self.call.head.id, upstream: = e.upstream, step = e.step, may_have_run = e.ran.maybe(),
             cause = e.cause.as_str()
@@ -177,6 +180,9 @@
     }
 
     fn log(&self, outcome: &str, status: u16, upstream: Option<&UpstreamId>) {
+        if !self.entry.logs() {
+            return;
+        }
         let upstream = upstream.map_or("", UpstreamId::as_str);
         spdlog::info!("request ended", kv: {
             request: = self.call.head.id, route: = self.call.route.name, outcome = outcome, status,
--- a/crates/oleanderpost-serving/src/scheduler_host.rs
+++ b/crates/oleanderpost-serving/src/scheduler_host.rs
@@ -110,6 +110,7 @@
                     return Some(SchedulerMessage::NotServing);
                 };
                 let decision = scheduler.ask(now, from, work);
+                note_decision(scheduler, from, id, &decision);
                 Some(SchedulerMessage::Decided { id, decision })
             }
             SchedulerMessage::FirstEvent { service, id } => {
@@ -207,6 +208,19 @@
     }
 }
 
+/// Notes what was not granted at once, with what the scheduler knew.
+fn note_decision(scheduler: &Scheduler, node: &VmId, id: WorkId, decision: &Decision) {
+    let name = match decision {
+        Decision::Run(_) => return,
+        Decision::Wait => "work waits",
+        Decision::Refuse { .. } => "work refused",
+    };
+    spdlog::info!("{name}", kv: {
+        work: = id, node: = node, waiting = scheduler.waiting(), placed = scheduler.placed(),
+        engines = scheduler.engines().count(), idle = scheduler.engines().filter(|(_, load)| load.is_empty()).count()
+    });
+}
+
 fn attend(state: &mut HostState, now: f64, from: &VmId, ids: &[WorkId]) -> SchedulerMessage {
     let mut unknown = ids.to_vec();
     for scheduler in state.schedulers.values_mut() {
--- a/crates/oleanderpost-serving/src/stream_task.rs
+++ b/crates/oleanderpost-serving/src/stream_task.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     AnswerBody, AnswerHead, AttemptError, AttemptHead, Attempts, BootTime, BrokenOff, Entry, Event,
-    HelperAddress, Ran, Rejection, UpstreamId, Work, WorkEnd,
+    Grant, HelperAddress, Ran, Rejection, UpstreamId, Work, WorkEnd, WorkId,
     call::Call,
     entry::Progress,
     event_source::{EventError, EventSource, NextEvent},
@@ -72,6 +72,8 @@
     _progress: Progress,
     attempts: Attempts,
     tried: Vec<UpstreamId>,
+    /// Engine of the latest attempt.
+    engine: Option<UpstreamId>,
     /// Engines that had no memory to set aside.
     full: Vec<UpstreamId>,
     /// Last event passed on.
@@ -90,6 +92,7 @@
             _progress: progress,
             attempts: Attempts::default(),
             tried: Vec::new(),
+            engine: None,
             full: Vec::new(),
             last_event,
             events: 0,
@@ -135,6 +138,7 @@
                 Err(unplaced) => return Err(self.rejection(&unplaced)),
             };
             let upstream = place.upstream.id.clone();
+            self.engine = Some(upstream.clone());
             match self.attempt(place).await {
                 Ok(Opened::Other(parts, body)) => {
                     self.attempts.note(Ran::Maybe);
@@ -193,9 +197,9 @@
             let placed = timeout(self.call.left(), placed)
                 .await
                 .map_err(|_| Unplaced::TimeUp)?;
-            let lease = placed
-                .map_err(|ms| Unplaced::Refused(Duration::from_secs_f64(ms.max(0.0) / 1e3)))?;
+            let lease = placed.map_err(|ms| self.note_refused(id, ms))?;
             let grant = lease.grant().clone();
+            self.note_placed(id, &grant);
             let Some(upstream) = self.entry.state.upstream(&grant.engine) else {
                 self.tried.push(grant.engine);
                 lease.close(WorkEnd::Shed);
@@ -252,6 +256,28 @@
         Err(Unplaced::Refused(COME_BACK))
     }
 
+    fn note_placed(&self, id: WorkId, grant: &Grant) {
+        if !self.entry.logs() {
+            return;
+        }
+        spdlog::info!("placed", kv: {
+            request: = self.call.head.id, work: = id, upstream: = grant.engine, helpers = grant.helpers.len(),
+            prompt = self.call.head.prompt_tokens.unwrap_or(0.0) as u64, first_event_ms = grant.first_event_ms as u64,
+            ms = self.call.age().as_millis() as u64, scheduler: = self.entry.scheduler.leader()
+        });
+    }
+
+    /// Notes that the scheduler refused; `ms` is the time after which another try makes sense.
+    fn note_refused(&self, id: WorkId, ms: f64) -> Unplaced {
+        if self.entry.logs() {
+            spdlog::info!("no engine in time", kv: {
+                request: = self.call.head.id, work: = id, retry_after_ms = ms as u64,
+                left_ms = self.call.left().as_millis() as u64, scheduler: = self.entry.scheduler.leader()
+            });
+        }
+        Unplaced::Refused(Duration::from_secs_f64(ms.max(0.0) / 1e3))
+    }
+
     fn place_plain(&self) -> Result<Placement, Unplaced> {
         let upstreams = self.entry.state.usable(&self.call.service);
         let now = BootTime::now();
@@ -361,6 +387,9 @@
         if e.ran == Ran::Gone {
             self.entry.state.directory().mark_leaving(&e.upstream);
         }
+        if !self.entry.logs() {
+            return;
+        }
         spdlog::info!("attempt failed", kv: {
             request: = self.call.head.id, upstream: = e.upstream, step = e.step, may_have_run = e.ran.maybe(),
             cause = e.cause.as_str(), events = self.events
@@ -543,9 +572,12 @@
     }
 
     fn log(&self, outcome: &str, status: u16) {
+        if !self.entry.logs() {
+            return;
+        }
         spdlog::info!("request ended", kv: {
             request: = self.call.head.id, route: = self.call.route.name, outcome = outcome, status,
-            upstream = self.tried.last().map_or("", UpstreamId::as_str), events = self.events,
+            upstream = self.engine.as_ref().map_or("", UpstreamId::as_str), events = self.events,
             attempts = self.attempts.may_have_run, refusals = self.attempts.not_run,
             ms = self.call.age().as_millis() as u64, version = self.call.version
         });
--- a/crates/oleanderpost-serving/tests/support/play.rs
+++ b/crates/oleanderpost-serving/tests/support/play.rs
@@ -173,12 +173,10 @@
             decided.push((next, placer.ask(now, next, &requests[next])));
             next += 1;
         }
-        for sim in 0..engines {
-            let ended = passes[sim].as_ref().is_some_and(|(end, _)| *end <= now);
-            if !ended {
+        for pass in &mut passes {
+            let Some((_, done)) = pass.take_if(|(end, _)| *end <= now) else {
                 continue;
-            }
-            let (_, done) = passes[sim].take().unwrap();
+            };
             for progress in done {
                 note(
                     progress,
