One watch answer for changes that come together

Cause: each of 17 (58) entries at the start woke every watch by itself. Ruled out: rewritten entries (each key came once).

--- a/crates/oleanderpost-serving/src/discovery.rs
+++ b/crates/oleanderpost-serving/src/discovery.rs
@@ -22,6 +22,9 @@
 const PEER_LOOK: Duration = Duration::from_millis(400);
 /// Age of the evidence at which a node asks the store itself.
 const PEER_EVIDENCE_AGE: Duration = Duration::from_millis(2_600);
+/// Pause after an answer with changes: others often follow, and one answer then tells them all. Small against
+/// the seconds within which a change must be in force.
+const CHANGES_PAUSE: Duration = Duration::from_millis(250);
 /// Time beyond that for the answer.
 const WATCH_EXTRA: Duration = Duration::from_millis(700);
 /// Time for reading the whole state.
@@ -73,8 +76,13 @@
             match answer {
                 Ok((changes, whole)) => {
                     self.failures = 0;
+                    let more_may_follow =
+                        !changes.upstreams.is_empty() || changes.deployment.is_some();
                     self.take(changes, whole);
                     self.state.confirm(asked_at);
+                    if more_may_follow {
+                        sleep(CHANGES_PAUSE).await;
+                    }
                 }
                 Err(DiscoveryError::HistoryGone) => {
                     spdlog::info!("history of the store is gone, reading the whole state");
