--- a/crates/oleanderpost-serving/src/node_state.rs
+++ b/crates/oleanderpost-serving/src/node_state.rs
@@ -91,6 +91,12 @@
         self.revision.store(revision, Ordering::Release);
     }
 
+    /// Position of the store up to which changes are known.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.revision.load(Ordering::Acquire)
+    }
+
     /// What this node can tell others; `None` without any evidence.
     #[must_use]
     pub fn evidence_for_peers(&self) -> Option<PeerEvidence> {
@@ -98,7 +104,7 @@
         Some(PeerEvidence {
             version: self.deployment()?.version(),
             age_ms: u64::try_from(age.as_millis()).ok()? + 1,
-            revision: self.revision.load(Ordering::Acquire),
+            revision: self.revision(),
         })
     }
 
@@ -132,7 +138,7 @@
         let version = self
             .deployment()
             .map_or(0, |deployment| deployment.version());
-        version < peer.version || self.revision.load(Ordering::Acquire) < peer.revision
+        version < peer.version || self.revision() < peer.revision
     }
 
     /// Age of the evidence.
