A store that was never away is not back

Cause, from the log of an incident: the age of the evidence between two watches passed 2.8 s, so that the store counted as having been away, and entries removed in the next two seconds stayed in use. Only failures in a row count now. Test entry_removed_while_the_store_is_sound_is_gone_at_once failed before. One test looked only at the last question and missed one that is over at once; it now looks at all.

--- a/crates/oleanderpost-serving/src/discovery.rs
+++ b/crates/oleanderpost-serving/src/discovery.rs
@@ -31,8 +31,8 @@
 const SNAPSHOT_LIMIT: Duration = Duration::from_millis(1_500);
 /// Shortest and longest pause after a failure.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(600));
-/// Age of the last answer beyond which the store counts as having been away.
-const AWAY: Duration = Duration::from_millis(2_800);
+/// Failures in a row after which the store counts as having been away; a single one may be a cut watch.
+const AWAY_AFTER: u32 = 2;
 
 /// Keeps a node's knowledge of configuration and upstreams current.
 pub struct Discovery {
@@ -172,7 +172,7 @@
 
     /// Starts the patience with missing entries when the store answers again after an outage.
     fn note_return(&mut self, asked_at: BootTime, answered: bool) {
-        let away = self.failures > 1 || self.state.evidence_age().is_some_and(|age| age > AWAY);
+        let away = self.failures >= AWAY_AFTER;
         if answered && away {
             self.patience = Some(asked_at.after(RETURN_PATIENCE));
             spdlog::info!("store is back", kv: { failures = self.failures });
--- a/crates/oleanderpost-serving/tests/evidence.rs
+++ b/crates/oleanderpost-serving/tests/evidence.rs
@@ -9,8 +9,8 @@
 };
 
 use oleanderpost_serving::{
-    BootTime, Changes, Deployment, Discovery, DiscoveryError, DiscoverySource, NodeState,
-    PeerEvidence, Revision,
+    BootTime, Changes, DataCentreName, Deployment, Discovery, DiscoveryError, DiscoverySource,
+    NodeState, PeerEvidence, Revision, ServiceName, Upstream, UpstreamChange, UpstreamId,
 };
 use tokio::{
     sync::Notify,
@@ -116,7 +116,7 @@
     let asked = source.waits.lock().unwrap().len();
     assert!(asked <= 2, "{asked} questions in four seconds");
     let silent_since = Instant::now();
-    while source.waits.lock().unwrap().last() != Some(&Duration::ZERO) {
+    while !source.waits.lock().unwrap().contains(&Duration::ZERO) {
         assert!(
             silent_since.elapsed() < Duration::from_millis(3_500),
             "no question of its own"
@@ -160,3 +160,70 @@
     }
     assert!(source.waits.lock().unwrap().len() > before, "it asks anew");
 }
+
+/// A store that answers two questions without changes, and then that an entry was removed.
+#[derive(Default)]
+struct Leaving {
+    asked: Mutex<u32>,
+}
+
+#[async_trait::async_trait]
+impl DiscoverySource for Leaving {
+    async fn snapshot(&self) -> Result<Changes, DiscoveryError> {
+        let upstream = Upstream {
+            id: UpstreamId::new("u"),
+            service: ServiceName::new("a"),
+            address: "127.0.0.1:1".parse().unwrap(),
+            data_centre: DataCentreName::new("dc-a"),
+            slots: 1,
+            draining: false,
+            started_at: None,
+        };
+        let upstreams = vec![UpstreamChange::Put(upstream)];
+        Ok(Changes {
+            revision: 1,
+            deployment: Some(Deployment::new(7)),
+            upstreams,
+        })
+    }
+
+    async fn changes(&self, _after: Revision, wait: Duration) -> Result<Changes, DiscoveryError> {
+        let asked = {
+            let mut asked = self.asked.lock().unwrap();
+            *asked += 1;
+            *asked
+        };
+        if asked != 3 {
+            sleep(wait).await;
+            return Ok(Changes {
+                revision: 1,
+                ..Changes::default()
+            });
+        }
+        let upstreams = vec![UpstreamChange::Removed(UpstreamId::new("u"))];
+        Ok(Changes {
+            revision: 2,
+            upstreams,
+            ..Changes::default()
+        })
+    }
+}
+
+/// Seen in the log of an incident: `store is back` every few seconds, though it was never away, so that entries
+/// removed meanwhile were used for two seconds more.
+#[tokio::test]
+async fn entry_removed_while_the_store_is_sound_is_gone_at_once() {
+    let source = Arc::new(Leaving::default());
+    let state = Arc::new(NodeState::new(LIMIT));
+    let discovery = Discovery::new(
+        Arc::clone(&source) as _,
+        Arc::clone(&state),
+        Arc::new(Notify::new()),
+    );
+    tokio::spawn(discovery.run());
+    while *source.asked.lock().unwrap() < 3 {
+        sleep(Duration::from_millis(10)).await;
+    }
+    sleep(Duration::from_millis(50)).await;
+    assert!(!state.directory().is_usable(&UpstreamId::new("u")));
+}
