--- a/crates/oleanderpost-serving/src/entry.rs
+++ b/crates/oleanderpost-serving/src/entry.rs
@@ -125,6 +125,11 @@
         }
     }
 
+    /// Whether the call may not go to any upstream now: its key may have been taken away.
+    pub(crate) fn must_not_dispatch(&self, call: &Call) -> bool {
+        call.is_keyed() && !self.state.is_fresh()
+    }
+
     /// Reads a request and checks whether it may be served.
     async fn admit(
         &self,
--- a/crates/oleanderpost-serving/src/plain_task.rs
+++ b/crates/oleanderpost-serving/src/plain_task.rs
@@ -76,6 +76,9 @@
     }
 
     fn may_retry(&self) -> bool {
+        if self.entry.must_not_dispatch(self.call) {
+            return false;
+        }
         let nodes = self.entry.scheduler.nodes();
         let (route, service) = (&self.call.route, &self.call.service);
         self.entry.retries.allows(
@@ -166,13 +169,16 @@
             );
             return response(&whole.parts, AnswerBody::new(whole.body));
         }
-        let rejection = if self.attempts.may_have_run == 0 {
-            Rejection::Busy(COME_BACK)
-        } else if self.call.left().is_zero() {
-            Rejection::TimedOut
-        } else {
-            Rejection::UpstreamFailed
-        };
+        let rejection =
+            if self.attempts.may_have_run == 0 && self.entry.must_not_dispatch(self.call) {
+                Rejection::NotReady
+            } else if self.attempts.may_have_run == 0 {
+                Rejection::Busy(COME_BACK)
+            } else if self.call.left().is_zero() {
+                Rejection::TimedOut
+            } else {
+                Rejection::UpstreamFailed
+            };
         self.entry.metrics.rejected(rejection);
         let upstream = last.map(|e| &e.upstream);
         self.log(rejection.name(), rejection.status().as_u16(), upstream);
--- a/crates/oleanderpost-serving/src/stream_task.rs
+++ b/crates/oleanderpost-serving/src/stream_task.rs
@@ -162,12 +162,16 @@
                 Rejection::TimedOut
             }
             _ if self.attempts.may_have_run > 0 => Rejection::UpstreamFailed,
+            _ if self.entry.must_not_dispatch(&self.call) => Rejection::NotReady,
             Unplaced::Refused(wait) => Rejection::Busy(*wait),
             Unplaced::TimeUp => Rejection::Busy(COME_BACK),
         }
     }
 
     fn may_retry(&self) -> bool {
+        if self.entry.must_not_dispatch(&self.call) {
+            return false;
+        }
         let nodes = self.entry.scheduler.nodes();
         let (route, service) = (&self.call.route, &self.call.service);
         self.entry.retries.allows(
@@ -191,6 +195,9 @@
             return self.place_plain();
         };
         for _ in 0..PLANS {
+            if self.entry.must_not_dispatch(&self.call) {
+                break;
+            }
             let work = self.work(profile.usual_prompt, profile.usual_answer);
             let id = work.id;
             let placed = self.entry.scheduler.place(&self.call.service, work);
