Serving: one job a file; memory for bodies is really bounded

Planner, candidate, engine finder and reception leave scheduler, stream task and entry; no import circle between entry and the tasks. Found while reading: the account of bodies' memory was never filled, so that its check could not fail.

--- a/crates/oleanderpost-serving/src/call.rs
+++ b/crates/oleanderpost-serving/src/call.rs
@@ -5,14 +5,19 @@
 use bytes::Bytes;
 use http::request::Parts;
 
-use crate::{Account, BootTime, CallHead, Route, ServiceName};
+use crate::{Account, BootTime, CallHead, Route, ServiceName, body_budget::HeldBody};
+
+/// Pause between events that callers expect where the route states none.
+const PAUSE_DEFAULT: Duration = Duration::from_millis(1_000);
 
 /// A caller's request that may be served.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct Call {
     pub(crate) head: CallHead,
     pub(crate) parts: Arc<Parts>,
     pub(crate) body: Bytes,
+    /// Its share of the memory for bodies.
+    pub(crate) _held: HeldBody,
     pub(crate) route: Arc<Route>,
     pub(crate) account: Option<Arc<Account>>,
     pub(crate) service: ServiceName,
@@ -40,6 +45,11 @@
         self.limit().saturating_sub(self.age())
     }
 
+    /// Longest pause between events of a stream that the caller expects.
+    pub(crate) fn pause(&self) -> Duration {
+        self.route.pause.unwrap_or(PAUSE_DEFAULT)
+    }
+
     /// Whether it needs a key.
     pub(crate) fn is_keyed(&self) -> bool {
         self.account.is_some()
--- /dev/null
+++ b/crates/oleanderpost-serving/src/candidate.rs
@@ -0,0 +1,52 @@
+//! [`Candidate`].
+
+use std::cmp::Ordering;
+
+use crate::{EngineLoad, Grant, Prospect, UpstreamId, Work};
+
+/// An engine that could take a request.
+pub(crate) struct Candidate<'a> {
+    pub(crate) id: &'a UpstreamId,
+    pub(crate) load: &'a EngineLoad,
+    pub(crate) prospect: Prospect,
+}
+
+impl Candidate<'_> {
+    /// A grant of this engine alone.
+    pub(crate) fn grant(&self) -> Grant {
+        Grant {
+            engine: self.id.clone(),
+            helpers: Vec::new(),
+            reserve_tokens: None,
+            first_event_ms: self.prospect.first_event_ms,
+        }
+    }
+
+    /// Number of requests whose callers would see longer pauses than they expect.
+    pub(crate) fn disturbed(&self) -> usize {
+        if self.prospect.keeps_pauses {
+            0
+        } else {
+            self.load.len()
+        }
+    }
+
+    /// Orders engines: the greatest is the best one.
+    ///
+    /// First those where others expect as short pauses, the fullest of them; then idle ones; then those
+    /// that serve callers with longer pauses, which the request would keep from taking their like.
+    pub(crate) fn compare(&self, other: &Self, work: &Work) -> Ordering {
+        let key = |c: &Self| {
+            let group = if c.load.is_empty() {
+                1
+            } else if c.load.shortest_pause() <= work.pause_ms * 1.01 {
+                2
+            } else {
+                0
+            };
+            let near = c.load.data_centre == work.data_centre;
+            (group, c.load.len(), near, c.id.clone())
+        };
+        key(self).cmp(&key(other))
+    }
+}
--- a/crates/oleanderpost-serving/src/engine_load.rs
+++ b/crates/oleanderpost-serving/src/engine_load.rs
@@ -45,6 +45,19 @@
     pub first_at: Option<f64>,
 }
 
+/// What an engine does for a request that is placed on it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Role {
+    /// Share of the prompt that it reads.
+    pub share: f64,
+    /// Whether the answer is written there.
+    pub writes: bool,
+    /// Whether several engines take part in each step of the answer.
+    pub joint: bool,
+    /// Tokens of memory in use there.
+    pub memory: f64,
+}
+
 /// What one engine is doing, as far as a scheduler knows. Times in milliseconds.
 #[derive(Clone, Debug)]
 pub struct EngineLoad {
@@ -182,24 +195,15 @@
     }
 
     /// Places a request, or a part of it.
-    pub fn place(
-        &mut self,
-        work: &Work,
-        now: f64,
-        prospect: &Prospect,
-        share: f64,
-        writes: bool,
-        joint: bool,
-        memory: f64,
-    ) {
+    pub fn place(&mut self, work: &Work, now: f64, prospect: &Prospect, role: Role) {
         let part = Part {
             prompt: work.prompt,
-            share,
-            memory,
+            share: role.share,
+            memory: role.memory,
             answer: work.answer,
             pause_ms: work.pause_ms,
-            writes,
-            joint,
+            writes: role.writes,
+            joint: role.joint,
             placed_at: now,
             read_until: prospect.read_until,
             first_at: None,
--- a/crates/oleanderpost-serving/src/front.rs
+++ b/crates/oleanderpost-serving/src/front.rs
@@ -19,7 +19,7 @@
     time::{sleep, timeout},
 };
 
-use crate::{AnswerBody, CallerLimits, Entry, Error, Result};
+use crate::{AnswerBody, CallerLimits, Entry, Error, Reception, Result};
 
 /// Connections that the operating system holds ready before they are accepted.
 const BACKLOG: u32 = 1_024;
@@ -39,6 +39,7 @@
 pub struct Front {
     listener: TcpListener,
     entry: Arc<Entry>,
+    reception: Arc<Reception>,
     open: Arc<AtomicUsize>,
     most: usize,
 }
@@ -54,6 +55,7 @@
         let most = (descriptors as f64 * CALLER_SHARE) as usize;
         Ok(Self {
             listener,
+            reception: Arc::new(Reception::new(Arc::clone(&entry))),
             entry,
             open: Arc::default(),
             most,
@@ -95,22 +97,23 @@
 
     fn serve(&self, stream: TcpStream) {
         let entry = Arc::clone(&self.entry);
+        let reception = Arc::clone(&self.reception);
         let open = Arc::clone(&self.open);
         open.fetch_add(1, Ordering::Relaxed);
         tokio::spawn(async move {
-            serve_connection(stream, &entry).await;
+            serve_connection(stream, &entry, &reception).await;
             open.fetch_sub(1, Ordering::Relaxed);
         });
     }
 }
 
-async fn serve_connection(stream: TcpStream, entry: &Arc<Entry>) {
+async fn serve_connection(stream: TcpStream, entry: &Arc<Entry>, reception: &Arc<Reception>) {
     if let Err(e) = stream.set_nodelay(true) {
         spdlog::debug!("connection of caller is gone", kv: { error: = e });
         return;
     }
     let limits = entry.limits();
-    let service = service_fn(|req| answer(Arc::clone(entry), req));
+    let service = service_fn(|req| answer(Arc::clone(entry), Arc::clone(reception), req));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout + IDLE_EXTRA)
@@ -123,9 +126,10 @@
 
 async fn answer(
     entry: Arc<Entry>,
+    reception: Arc<Reception>,
     req: Request<Incoming>,
 ) -> std::result::Result<Response<AnswerBody>, Infallible> {
-    let mut resp = entry.serve(req).await;
+    let mut resp = reception.serve(req).await;
     if entry.is_draining() {
         resp.headers_mut()
             .insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/oleanderpost-serving/src/lib.rs
+++ b/crates/oleanderpost-serving/src/lib.rs
@@ -1,6 +1,6 @@
 //! The path of a request through an entry node.
 //!
-//! A request is read and checked ([`Entry`]), gets a place ([`Scheduler`] for model engines,
+//! A request is read and checked ([`Reception`]), gets a place ([`Scheduler`] for model engines,
 //! [`PlainBalancer`] for services whose requests are alike), is sent and, where its kind allows, repeated
 //! ([`RetryPolicy`]); the events of a stream are passed on as they come. What a node knows stands in
 //! [`NodeState`], which [`Discovery`] keeps current. [`Node`] joins the parts.
@@ -25,10 +25,12 @@
 mod answer_head;
 mod attempt_error;
 mod attempt_head;
+mod body_budget;
 mod boot_time;
 mod call;
 mod call_head;
 mod caller_limits;
+mod candidate;
 mod decision;
 mod deployment;
 mod directory;
@@ -36,6 +38,7 @@
 mod discovery_source;
 mod drain;
 mod engine_control;
+mod engine_finder;
 mod engine_load;
 mod engine_profile;
 mod entry;
@@ -57,7 +60,10 @@
 mod placement;
 mod plain_balancer;
 mod plain_task;
+mod planner;
+mod progress;
 mod ran;
+mod reception;
 mod rejection;
 mod reservations;
 mod retry_budget;
@@ -98,7 +104,7 @@
     discovery_source::{Changes, DiscoveryError, DiscoverySource, Revision, UpstreamChange},
     drain::Drain,
     engine_control::{EngineControl, ReserveAnswer},
-    engine_load::{EngineLoad, Part, Prospect},
+    engine_load::{EngineLoad, Part, Prospect, Role},
     engine_profile::EngineProfile,
     entry::Entry,
     error::{Error, Result},
@@ -115,6 +121,7 @@
     peer_link::PeerLink,
     plain_balancer::PlainBalancer,
     ran::Ran,
+    reception::Reception,
     rejection::Rejection,
     retry_budget::RetryBudget,
     retry_policy::{Attempts, RetryPolicy},
--- a/crates/oleanderpost-serving/src/placement.rs
+++ b/crates/oleanderpost-serving/src/placement.rs
@@ -39,7 +39,7 @@
             helpers,
             first_event_ms,
             lease: Some(lease),
-            reservations: reservations,
+            reservations,
         }
     }
 
--- /dev/null
+++ b/crates/oleanderpost-serving/src/progress.rs
@@ -0,0 +1,23 @@
+//! [`Progress`].
+
+use std::sync::{Arc, atomic::Ordering};
+
+use crate::Entry;
+
+/// Counts a request as in progress while it lives.
+pub(crate) struct Progress {
+    entry: Arc<Entry>,
+}
+
+impl Progress {
+    pub(crate) fn new(entry: Arc<Entry>) -> Self {
+        entry.in_progress.fetch_add(1, Ordering::AcqRel);
+        Self { entry }
+    }
+}
+
+impl Drop for Progress {
+    fn drop(&mut self) {
+        self.entry.in_progress.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/crates/oleanderpost-serving/src/reception.rs
@@ -0,0 +1,181 @@
+//! [`Reception`].
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use http::{Request, Response};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use crate::{
+    AnswerBody, BootTime, CallId, Deployment, Entry, Rejection, Route, body_budget::HeldBody,
+    call::Call, plain_task::PlainTask, progress::Progress, stream_task::StreamTask,
+};
+
+/// Longest time for the body of a request, if its deadline is not shorter.
+const BODY_LIMIT: Duration = Duration::from_secs(10);
+/// Time after which a request that met a node short of memory should come back.
+const MEMORY_WAIT: Duration = Duration::from_millis(300);
+
+/// Reads callers' requests, refuses those that may not be served, and has the others served.
+pub struct Reception {
+    entry: Arc<Entry>,
+}
+
+impl Reception {
+    /// The reception of a node.
+    #[must_use]
+    pub fn new(entry: Arc<Entry>) -> Self {
+        Self { entry }
+    }
+
+    /// Serves one request.
+    pub async fn serve(&self, req: Request<Incoming>) -> Response<AnswerBody> {
+        let arrived = BootTime::now();
+        let progress = Progress::new(Arc::clone(&self.entry));
+        let (parts, body) = req.into_parts();
+        let parts = Arc::new(parts);
+        let call = match self.admit(arrived, &parts, body).await {
+            Ok(call) => call,
+            Err(rejection) => return self.reject(&parts, rejection),
+        };
+        self.entry.retries.note_request(&call.service, arrived);
+        if call.route.kind.is_stream() {
+            StreamTask::new(Arc::clone(&self.entry), call, progress)
+                .run()
+                .await
+        } else {
+            PlainTask::new(&self.entry, &call).run().await
+        }
+    }
+
+    /// Reads a request and checks whether it may be served.
+    async fn admit(
+        &self,
+        arrived: BootTime,
+        parts: &Arc<http::request::Parts>,
+        body: Incoming,
+    ) -> Result<Call, Rejection> {
+        let head = self.entry.codec.call(parts).map_err(Rejection::Malformed)?;
+        let deployment = self.entry.state.deployment().ok_or(Rejection::NotReady)?;
+        let fresh = self.entry.state.is_fresh();
+        let Some(route) = deployment.route(&head.host, parts.uri.path()) else {
+            // An old configuration may lack a route that was added since.
+            return Err(if fresh {
+                Rejection::NoRoute
+            } else {
+                Rejection::NotReady
+            });
+        };
+        let account = if deployment.needs_keys() && !route.open {
+            if !fresh {
+                return Err(Rejection::NotReady);
+            }
+            let account = head.key.as_deref().and_then(|key| deployment.account(key));
+            Some(Arc::clone(account.ok_or(Rejection::UnknownKey)?))
+        } else {
+            None
+        };
+        let longest = head
+            .deadline
+            .map_or(route.timeout, |deadline| deadline.min(route.timeout));
+        if self
+            .entry
+            .state
+            .draining()
+            .is_some_and(|drain| !drain.admits(arrived, longest))
+        {
+            return Err(Rejection::Draining);
+        }
+        let service = route
+            .service(draw(&head.id))
+            .cloned()
+            .ok_or(Rejection::NotReady)?;
+        let (body, held) = self
+            .read_body(&deployment, route, head.deadline, body)
+            .await?;
+        Ok(Call {
+            head,
+            parts: Arc::clone(parts),
+            body,
+            _held: held,
+            route: Arc::clone(route),
+            account,
+            service,
+            version: deployment.version(),
+            arrived,
+        })
+    }
+
+    /// Reads the body within the operator's limit, the caller's time and the node's memory.
+    async fn read_body(
+        &self,
+        deployment: &Deployment,
+        route: &Route,
+        deadline: Option<Duration>,
+        body: Incoming,
+    ) -> Result<(Bytes, HeldBody), Rejection> {
+        let limit = BODY_LIMIT
+            .min(route.timeout)
+            .min(deadline.unwrap_or(BODY_LIMIT));
+        let most = deployment.limits().body_bytes;
+        let read = timeout(limit, self.collect(Limited::new(body, most)));
+        read.await.map_err(|_| Rejection::SlowCaller)?
+    }
+
+    async fn collect(&self, mut body: Limited<Incoming>) -> Result<(Bytes, HeldBody), Rejection> {
+        let mut held = self.entry.bodies.open();
+        let mut buf = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|e| match e.is::<LengthLimitError>() {
+                true => Rejection::TooLarge,
+                false => Rejection::Malformed("the body broke off"),
+            })?;
+            let Ok(bytes) = frame.into_data() else {
+                continue;
+            };
+            if !held.take(bytes.len()) {
+                return Err(Rejection::Busy(MEMORY_WAIT));
+            }
+            buf.extend_from_slice(&bytes);
+        }
+        Ok((buf.freeze(), held))
+    }
+
+    /// Answers a request that is not served, and says why in the log.
+    fn reject(&self, parts: &http::request::Parts, rejection: Rejection) -> Response<AnswerBody> {
+        self.entry.metrics.rejected(rejection);
+        if !self.entry.logs() {
+            return rejection.response();
+        }
+        let id = self
+            .entry
+            .codec
+            .call(parts)
+            .map_or_else(|_| String::new(), |head| head.id.to_string());
+        let version = self
+            .entry
+            .state
+            .deployment()
+            .map_or(0, |deployment| deployment.version());
+        let age = self
+            .entry
+            .state
+            .evidence_age()
+            .map_or(-1.0, |age| age.as_secs_f64() * 1e3);
+        spdlog::info!("request not admitted", kv: {
+            request = id.as_str(), reason = rejection.name(), status = rejection.status().as_u16(),
+            version, evidence_age_ms = age as i64
+        });
+        rejection.response()
+    }
+}
+
+/// Uniform number of a request: the same for each look at it.
+fn draw(id: &CallId) -> u32 {
+    // FNV-1a (Fowler, Noll, Vo), 32 bits; identifiers are random, so any spread will do.
+    id.as_str().bytes().fold(0x811c_9dc5, |hash, byte| {
+        (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193)
+    })
+}
--- a/crates/oleanderpost-serving/src/reservations.rs
+++ b/crates/oleanderpost-serving/src/reservations.rs
@@ -74,7 +74,7 @@
         let reservations = Self {
             control,
             held,
-            renewals: renewals,
+            renewals,
             lost,
         };
         for (task, engine) in tasks.into_iter().zip(engines) {
--- a/crates/oleanderpost-serving/src/stream_task.rs
+++ b/crates/oleanderpost-serving/src/stream_task.rs
@@ -6,18 +6,18 @@
 use http::{Response, StatusCode, response::Parts};
 use tokio::{
     sync::mpsc,
-    time::{Instant, sleep, timeout},
+    time::{Instant, timeout},
 };
 
 use crate::{
     AnswerBody, AnswerHead, AttemptError, AttemptHead, Attempts, BootTime, BrokenOff, Entry, Event,
-    Grant, HelperAddress, Ran, Rejection, UpstreamId, Work, WorkEnd, WorkId,
+    Ran, Rejection, UpstreamId, WorkEnd,
     call::Call,
-    entry::Progress,
+    engine_finder::{COME_BACK, EngineFinder, Unplaced},
     event_source::{EventError, EventSource, NextEvent},
     open_answer::{OpenAnswer, response},
     placement::Placement,
-    reservations::Reservations,
+    progress::Progress,
     upstream_pool::UpstreamConnection,
 };
 
@@ -31,14 +31,6 @@
 const PAUSE_FACTOR: f64 = 2.5;
 /// Least silence between events after which the engine counts as lost.
 const PAUSE_LEAST: Duration = Duration::from_millis(900);
-/// Pause between events that callers expect where the route states none.
-const PAUSE_DEFAULT: Duration = Duration::from_millis(1_000);
-/// Time after which a request that found no upstream should come back.
-const COME_BACK: Duration = Duration::from_millis(300);
-/// Times that a request with memory set aside is planned anew when an engine refuses.
-const PLANS: u32 = 4;
-/// Pause before it is planned anew.
-const PLAN_PAUSE: Duration = Duration::from_millis(40);
 
 /// The open stream of one attempt.
 struct OpenStream {
@@ -59,23 +51,15 @@
     Other(Parts, Bytes),
 }
 
-/// Why no attempt can be made.
-enum Unplaced {
-    Refused(Duration),
-    TimeUp,
-}
-
 /// Serves one request whose answer is a stream of events.
 pub(crate) struct StreamTask {
     entry: Arc<Entry>,
-    call: Call,
+    call: Arc<Call>,
     _progress: Progress,
     attempts: Attempts,
-    tried: Vec<UpstreamId>,
+    finder: EngineFinder,
     /// Engine of the latest attempt.
     engine: Option<UpstreamId>,
-    /// Engines that had no memory to set aside.
-    full: Vec<UpstreamId>,
     /// Last event passed on.
     last_event: Option<u64>,
     events: u64,
@@ -86,14 +70,15 @@
 impl StreamTask {
     pub(crate) fn new(entry: Arc<Entry>, call: Call, progress: Progress) -> Self {
         let last_event = call.head.last_event;
+        let call = Arc::new(call);
+        let finder = EngineFinder::new(Arc::clone(&entry), Arc::clone(&call));
         Self {
             entry,
             call,
             _progress: progress,
             attempts: Attempts::default(),
-            tried: Vec::new(),
+            finder,
             engine: None,
-            full: Vec::new(),
             last_event,
             events: 0,
             numbered: true,
@@ -133,7 +118,7 @@
     /// Attempts until one gives an answer.
     async fn open(&mut self) -> Result<Opened, Rejection> {
         loop {
-            let place = match self.place().await {
+            let place = match self.finder.place().await {
                 Ok(place) => place,
                 Err(unplaced) => return Err(self.rejection(&unplaced)),
             };
@@ -142,7 +127,7 @@
             match self.attempt(place).await {
                 Ok(Opened::Other(parts, body)) => {
                     self.attempts.note(Ran::Maybe);
-                    self.tried.push(upstream);
+                    self.finder.exclude(upstream);
                     return Ok(Opened::Other(parts, body));
                 }
                 Ok(opened) => return Ok(opened),
@@ -184,137 +169,6 @@
         )
     }
 
-    /// Finds an engine, and memory where the prompt needs more than one.
-    async fn place(&mut self) -> Result<Placement, Unplaced> {
-        let profile = self.entry.state.deployment().and_then(|deployment| {
-            deployment
-                .service(&self.call.service)
-                .and_then(|service| service.engine.clone())
-        });
-        let Some(profile) = profile else {
-            return self.place_plain();
-        };
-        for _ in 0..PLANS {
-            if self.entry.must_not_dispatch(&self.call) {
-                break;
-            }
-            let work = self.work(profile.usual_prompt, profile.usual_answer);
-            let id = work.id;
-            let placed = self.entry.scheduler.place(&self.call.service, work);
-            let placed = timeout(self.call.left(), placed)
-                .await
-                .map_err(|_| Unplaced::TimeUp)?;
-            let lease = placed.map_err(|ms| self.note_refused(id, ms))?;
-            let grant = lease.grant().clone();
-            self.note_placed(id, &grant);
-            let Some(upstream) = self.entry.state.upstream(&grant.engine) else {
-                self.tried.push(grant.engine);
-                lease.close(WorkEnd::Shed);
-                continue;
-            };
-            let found: Vec<_> = grant
-                .helpers
-                .iter()
-                .filter_map(|id| self.entry.state.upstream(id))
-                .collect();
-            if found.len() < grant.helpers.len() {
-                lease.close(WorkEnd::Cancelled);
-                continue;
-            }
-            let addresses: Vec<_> = found.iter().map(|helper| helper.address).collect();
-            let Some(tokens) = grant.reserve_tokens else {
-                let helpers = addresses.into_iter().map(|address| HelperAddress {
-                    address,
-                    reservation: None,
-                });
-                return Ok(Placement::with_lease(
-                    upstream,
-                    lease,
-                    helpers.collect(),
-                    None,
-                ));
-            };
-            let engines: Vec<_> = std::iter::once(upstream.address).chain(addresses).collect();
-            let control = Arc::clone(&self.entry.control);
-            let longest = self.entry.reservation_max;
-            match Reservations::take(control, &engines, id, tokens as u64, longest).await {
-                Ok(held) => {
-                    return Ok(Placement::with_lease(
-                        upstream,
-                        lease,
-                        held.helpers(),
-                        Some(held),
-                    ));
-                }
-                Err(e) => {
-                    spdlog::info!("memory not reserved", kv: {
-                        request: = self.call.head.id, engine: = e.engine, cause = e.cause.as_str()
-                    });
-                    lease.close(WorkEnd::Cancelled);
-                    let refusing = std::iter::once(&upstream)
-                        .chain(&found)
-                        .find(|u| u.address == e.engine);
-                    self.full
-                        .extend(refusing.map(|upstream| upstream.id.clone()));
-                    sleep(PLAN_PAUSE).await;
-                }
-            }
-        }
-        Err(Unplaced::Refused(COME_BACK))
-    }
-
-    fn note_placed(&self, id: WorkId, grant: &Grant) {
-        if !self.entry.logs() {
-            return;
-        }
-        spdlog::info!("placed", kv: {
-            request: = self.call.head.id, work: = id, upstream: = grant.engine, helpers = grant.helpers.len(),
-            prompt = self.call.head.prompt_tokens.unwrap_or(0.0) as u64, first_event_ms = grant.first_event_ms as u64,
-            ms = self.call.age().as_millis() as u64, scheduler: = self.entry.scheduler.leader()
-        });
-    }
-
-    /// Notes that the scheduler refused; `ms` is the time after which another try makes sense.
-    fn note_refused(&self, id: WorkId, ms: f64) -> Unplaced {
-        if self.entry.logs() {
-            spdlog::info!("no engine in time", kv: {
-                request: = self.call.head.id, work: = id, retry_after_ms = ms as u64,
-                left_ms = self.call.left().as_millis() as u64, scheduler: = self.entry.scheduler.leader()
-            });
-        }
-        Unplaced::Refused(Duration::from_secs_f64(ms.max(0.0) / 1e3))
-    }
-
-    fn place_plain(&self) -> Result<Placement, Unplaced> {
-        let upstreams = self.entry.state.usable(&self.call.service);
-        let now = BootTime::now();
-        let chosen =
-            self.entry
-                .balancer
-                .choose(&upstreams, &self.tried, &self.entry.data_centre, now);
-        chosen
-            .map(Placement::new)
-            .ok_or(Unplaced::Refused(COME_BACK))
-    }
-
-    fn work(&self, usual_prompt: f64, usual_answer: f64) -> Work {
-        let head = &self.call.head;
-        let limit = head.answer_limit.unwrap_or(usual_answer * 2.0);
-        let left = |span: Duration| span.as_secs_f64() * 1e3 - self.call.age().as_secs_f64() * 1e3;
-        Work {
-            id: self.entry.scheduler.next_id(),
-            prompt: head.prompt_tokens.unwrap_or(usual_prompt),
-            answer: head.answer_hint.unwrap_or(usual_answer).min(limit),
-            answer_limit: limit,
-            objective_ms: left(self.call.route.objective),
-            pause_ms: self.call.route.pause.unwrap_or(PAUSE_DEFAULT).as_secs_f64() * 1e3,
-            deadline_ms: left(self.call.limit()),
-            priority: self.call.priority(),
-            data_centre: self.entry.data_centre.clone(),
-            excluded: self.tried.iter().chain(&self.full).cloned().collect(),
-        }
-    }
-
     /// Sends the request and waits for the first event.
     async fn attempt(&self, place: Placement) -> Result<Opened, AttemptError> {
         let upstream = Arc::clone(&place.upstream);
@@ -393,7 +247,7 @@
 
     fn note_error(&mut self, e: &AttemptError) {
         self.attempts.note(e.ran);
-        self.tried.push(e.upstream.clone());
+        self.finder.exclude(e.upstream.clone());
         if e.ran == Ran::Gone {
             self.entry.state.directory().mark_leaving(&e.upstream);
         }
@@ -470,7 +324,7 @@
 
     /// Silence after which the engine counts as lost.
     fn event_limit(&self) -> Duration {
-        let pause = self.call.route.pause.unwrap_or(PAUSE_DEFAULT);
+        let pause = self.call.pause();
         let left = self.call.left();
         if self.may_go_on() {
             left.min(pause.mul_f64(PAUSE_FACTOR).max(PAUSE_LEAST))
