--- a/crates/oleanderpost-serving/src/upstream_client.rs
+++ b/crates/oleanderpost-serving/src/upstream_client.rs
@@ -107,6 +107,14 @@
                 "answer to another request",
             ));
         }
+        if answer.parts.status.is_success() && !head.genuine {
+            return Err(AttemptError::new(
+                "await answer",
+                &to.id,
+                Ran::Maybe,
+                "success without proof of origin",
+            ));
+        }
         if head.wrong_upstream {
             self.discard(answer);
             return Err(AttemptError::new(
--- a/crates/oleanderpost-serving/tests/evidence.rs
+++ b/crates/oleanderpost-serving/tests/evidence.rs
@@ -103,7 +103,7 @@
     let source = Arc::new(Quiet::default());
     let state = Arc::new(NodeState::new(LIMIT));
     let discovery = Discovery::new(
-        Arc::clone(&source) as _,
+        Arc::clone(&source) as Arc<dyn DiscoverySource>,
         Arc::clone(&state),
         Arc::new(Notify::new()),
     );
@@ -137,7 +137,7 @@
     let source = Arc::new(Quiet::default());
     let state = Arc::new(NodeState::new(LIMIT));
     let discovery = Discovery::new(
-        Arc::clone(&source) as _,
+        Arc::clone(&source) as Arc<dyn DiscoverySource>,
         Arc::clone(&state),
         Arc::new(Notify::new()),
     );
@@ -216,7 +216,7 @@
     let source = Arc::new(Leaving::default());
     let state = Arc::new(NodeState::new(LIMIT));
     let discovery = Discovery::new(
-        Arc::clone(&source) as _,
+        Arc::clone(&source) as Arc<dyn DiscoverySource>,
         Arc::clone(&state),
         Arc::new(Notify::new()),
     );
