An upstream's limit of connections holds for idle ones; defaults of routes are the product's

Cause: the limit that an upstream states for all nodes together was decoded and not used: 84 nodes could keep 16 idle connections each to an instance that takes 120, and it resets those beyond. Time limit, objective and kind of a route that states none were chosen in platform/, which is to decide nothing.

Ruled out: limiting connections in use.

--- a/crates/oleanderpost-serving/src/entry.rs
+++ b/crates/oleanderpost-serving/src/entry.rs
@@ -11,7 +11,7 @@
 use crate::{
     BootTime, DataCentreName, EngineControl, LogBudget, Metrics, NodeState, PlainBalancer,
     RetryPolicy, SchedulerClient, Settings, UpstreamCodec, body_budget::BodyBudget, call::Call,
-    upstream_client::UpstreamClient,
+    idle_share, upstream_client::UpstreamClient,
 };
 
 /// Share of the process's memory that bodies of requests may take.
@@ -89,7 +89,15 @@
             spdlog::warn!("lines about requests left out of the log", kv: { lines });
         }
         let directory = self.state.directory().clone();
-        self.client.pool.retain(|id| directory.is_usable(id));
+        let deployment = self.state.deployment();
+        let nodes = self.scheduler.nodes();
+        let usable = directory.ids().filter_map(|id| directory.get(id));
+        let shares = usable.filter(|u| directory.is_usable(&u.id)).map(|u| {
+            let service = deployment.as_ref().and_then(|d| d.service(&u.service));
+            let most = service.and_then(|service| service.max_connections);
+            (u.id.clone(), idle_share(most, nodes))
+        });
+        self.client.pool.set_shares(shares.collect());
         self.balancer.retain(|id| directory.get(id).is_some());
     }
 
--- a/crates/oleanderpost-serving/src/lib.rs
+++ b/crates/oleanderpost-serving/src/lib.rs
@@ -138,6 +138,7 @@
     text_ids::{AccountName, CallId, DataCentreName, RouteName, ServiceName, UpstreamId},
     upstream::Upstream,
     upstream_codec::UpstreamCodec,
+    upstream_pool::idle_share,
     work::{Work, WorkId},
     work_end::WorkEnd,
 };
--- a/crates/oleanderpost-serving/src/node.rs
+++ b/crates/oleanderpost-serving/src/node.rs
@@ -105,7 +105,7 @@
         tasks.spawn(admin.run());
         tasks.spawn(discovery.run());
         tasks.spawn(follow_changes(
-            Arc::clone(&state),
+            Arc::clone(&entry),
             Arc::clone(&host),
             changed,
         ));
@@ -264,12 +264,13 @@
     Ok(OpenLinks { links, handler })
 }
 
-async fn follow_changes(state: Arc<NodeState>, host: Arc<SchedulerHost>, changed: Arc<Notify>) {
+async fn follow_changes(entry: Arc<Entry>, host: Arc<SchedulerHost>, changed: Arc<Notify>) {
     loop {
         changed.notified().await;
-        if let Some(deployment) = state.deployment() {
-            let directory = state.directory().clone();
+        if let Some(deployment) = entry.state.deployment() {
+            let directory = entry.state.directory().clone();
             host.refresh(&deployment, &directory);
+            entry.tidy();
         }
     }
 }
--- a/crates/oleanderpost-serving/src/route.rs
+++ b/crates/oleanderpost-serving/src/route.rs
@@ -4,6 +4,11 @@
 
 use crate::{RouteKind, RouteName, ServiceName};
 
+/// Time limit of a route that states none.
+const TIMEOUT_DEFAULT: Duration = Duration::from_secs(30);
+/// Objective of a route that states none.
+const OBJECTIVE_DEFAULT: Duration = Duration::from_secs(1);
+
 /// Where requests of one host and path prefix go, and how they are treated.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Route {
@@ -32,6 +37,30 @@
 }
 
 impl Route {
+    /// A route of all paths of `host` that begin with `prefix`, with the terms of one that states none:
+    /// its requests need a key and run once, since nothing says that they may be repeated.
+    #[must_use]
+    pub fn new(
+        name: &str,
+        host: &str,
+        prefix: &str,
+        targets: impl IntoIterator<Item = (ServiceName, u32)>,
+    ) -> Self {
+        Self {
+            name: RouteName::new(name),
+            host: host.to_ascii_lowercase(),
+            prefix: prefix.to_owned(),
+            kind: RouteKind::Once,
+            timeout: TIMEOUT_DEFAULT,
+            objective: OBJECTIVE_DEFAULT,
+            pause: None,
+            priority: 0,
+            targets: targets.into_iter().collect(),
+            max_attempts: 1,
+            open: false,
+        }
+    }
+
     /// The service for a request, by its share of the weights.
     ///
     /// `draw` is uniform over all values; equal draws give equal services.
--- a/crates/oleanderpost-serving/src/upstream_pool.rs
+++ b/crates/oleanderpost-serving/src/upstream_pool.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -24,8 +24,11 @@
 const IDLE_DEFAULT: Duration = Duration::from_millis(2_500);
 /// Share of the idle time that an upstream states within which a connection is used again.
 const IDLE_SHARE: f64 = 0.6;
-/// Idle connections that are kept for one upstream.
+/// Most idle connections that are kept for one upstream.
 const KEEP: usize = 16;
+/// Part of the connections that an upstream takes from all nodes together which may be idle: the others are
+/// for requests in progress and for those that are being opened.
+const IDLE_PART: f64 = 0.5;
 
 /// Connection to an upstream, ready for one request.
 pub(crate) struct UpstreamConnection {
@@ -40,10 +43,19 @@
     until: Instant,
 }
 
+/// Idle connections that one of `nodes` nodes may keep to an upstream which takes `most` from all of them.
+#[must_use]
+pub fn idle_share(most: Option<u32>, nodes: usize) -> usize {
+    let share = |most: u32| (f64::from(most) * IDLE_PART / nodes.max(1) as f64) as usize;
+    most.map_or(KEEP, |most| share(most).min(KEEP))
+}
+
 /// Connections to upstreams, kept for further requests.
 #[derive(Default)]
 pub(crate) struct UpstreamPool {
     idle: Mutex<HashMap<UpstreamId, Vec<Idle>>>,
+    /// Idle connections that may be kept, where it is fewer than usual.
+    shares: Mutex<HashMap<UpstreamId, usize>>,
 }
 
 impl UpstreamPool {
@@ -71,26 +83,31 @@
         }
         let stated = keep_alive.map(|span| span.mul_f64(IDLE_SHARE));
         let until = Instant::now() + stated.unwrap_or(IDLE_DEFAULT).min(Duration::from_secs(30));
-        let mut idle = self.lock();
+        let share = lock(&self.shares).get(&connection.id).copied();
+        let mut idle = lock(&self.idle);
         let of_upstream = idle.entry(connection.id.clone()).or_default();
         of_upstream
             .retain(|entry| entry.until > Instant::now() && !entry.connection.sender.is_closed());
-        if of_upstream.len() < KEEP {
+        if of_upstream.len() < share.unwrap_or(KEEP) {
             of_upstream.push(Idle { connection, until });
         }
     }
 
-    /// Closes the connections to upstreams that are no longer known, and those that were idle too long.
-    pub(crate) fn retain(&self, known: impl Fn(&UpstreamId) -> bool) {
-        let mut idle = self.lock();
-        idle.retain(|id, entries| {
+    /// Sets the idle connections that may be kept, by upstream. Closes those beyond, those to upstreams that
+    /// are not named, and those that were idle too long.
+    pub(crate) fn set_shares(&self, shares: HashMap<UpstreamId, usize>) {
+        lock(&self.idle).retain(|id, entries| {
             entries.retain(|entry| entry.until > Instant::now());
-            known(id) && !entries.is_empty()
+            let share = shares.get(id).copied().unwrap_or(0);
+            // The first were idle for longest.
+            entries.drain(..entries.len().saturating_sub(share));
+            !entries.is_empty()
         });
+        *lock(&self.shares) = shares;
     }
 
     fn take_idle(&self, to: &Upstream) -> Option<UpstreamConnection> {
-        let mut idle = self.lock();
+        let mut idle = lock(&self.idle);
         let entries = idle.get_mut(&to.id)?;
         while let Some(entry) = entries.pop() {
             let usable = entry.until > Instant::now() && entry.connection.address == to.address;
@@ -111,10 +128,10 @@
             address: to.address,
         })
     }
+}
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<UpstreamId, Vec<Idle>>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
-    }
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 async fn open(address: SocketAddr) -> std::io::Result<SendRequest<Full<Bytes>>> {
--- a/crates/oleanderpost-serving/tests/rules.rs
+++ b/crates/oleanderpost-serving/tests/rules.rs
@@ -5,7 +5,7 @@
 use oleanderpost_serving::{
     Account, AccountName, Attempts, BootTime, DataCentreName, Deployment, Directory, Event,
     EventSplitter, Evidence, Ran, RetryBudget, RetryPolicy, Route, RouteKind, RouteName,
-    ServiceName, Settings, Upstream, UpstreamId,
+    ServiceName, Settings, Upstream, UpstreamId, idle_share,
 };
 
 fn at(ms: u64) -> BootTime {
@@ -275,3 +275,36 @@
         assert!(fault.contains(field), "{field}: {fault}");
     }
 }
+
+#[test]
+fn idle_connections_of_all_nodes_leave_half_to_requests() {
+    for nodes in [1, 7, 84, 340] {
+        for most in [0, 1, 30, 120, 268] {
+            let share = idle_share(Some(most), nodes);
+            assert!(
+                share * nodes * 2 <= most as usize,
+                "{share} of {most} at {nodes} nodes"
+            );
+        }
+    }
+    assert_eq!(
+        idle_share(Some(268), 8),
+        16,
+        "no more than a node ever keeps"
+    );
+    assert_eq!(idle_share(None, 340), 16);
+}
+
+#[test]
+fn route_that_states_no_terms_runs_once_and_needs_a_key() {
+    let route = Route::new("r", "App.Example", "/r/", [(ServiceName::new("a"), 1)]);
+    assert_eq!(
+        (route.kind, route.max_attempts, route.open),
+        (RouteKind::Once, 1, false)
+    );
+    assert_eq!(route.host, "app.example");
+    assert_eq!(
+        (route.timeout, route.objective),
+        (Duration::from_secs(30), Duration::from_secs(1))
+    );
+}
--- a/crates/oleanderpost-serving/tests/scheduler_client.rs
+++ b/crates/oleanderpost-serving/tests/scheduler_client.rs
@@ -89,7 +89,7 @@
         usual_answer: 1_300.0,
     };
     let service = Service {
-        max_connections: 100,
+        max_connections: Some(100),
         engine: Some(profile),
     };
     let deployment = Deployment::new(1).with_services([(llm(), service)]);
