A node that the store turns away takes over what a peer knows

Cause: the store may refuse some nodes while it serves others, or be away while a node starts. Such a node went on with what it had: a change of the configuration made its evidence worthless, keyed requests stopped and it reported itself not ready; one that started knew no route at all.

Change: after two failures in a row, and if no peer vouches for it, a node asks a seed for configuration, upstreams, position and evidence, at most once a second, and takes them over if the position is ahead of its own. It goes on from that position when the store answers. The peer's evidence keeps its age.

Ruled out: sending every change to all nodes (each would come twice); asking all seeds at once (40 KB each over links of 20 Mbit/s).

--- a/crates/oleanderpost-serving/src/account.rs
+++ b/crates/oleanderpost-serving/src/account.rs
@@ -1,9 +1,11 @@
 //! [`Account`].
 
+use serde::{Deserialize, Serialize};
+
 use crate::AccountName;
 
 /// A client account.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Account {
     /// Name.
     pub name: AccountName,
--- a/crates/oleanderpost-serving/src/caller_limits.rs
+++ b/crates/oleanderpost-serving/src/caller_limits.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 /// What callers may send, and how long they may take.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Largest head of a request in bytes.
     pub header_bytes: usize,
--- a/crates/oleanderpost-serving/src/deployment.rs
+++ b/crates/oleanderpost-serving/src/deployment.rs
@@ -2,10 +2,12 @@
 
 use std::{collections::HashMap, sync::Arc};
 
+use serde::{Deserialize, Serialize};
+
 use crate::{Account, CallerLimits, Route, Service, ServiceName};
 
 /// One whole configuration of the operator.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Deployment {
     version: u64,
     routes: HashMap<String, Vec<Arc<Route>>>,
--- a/crates/oleanderpost-serving/src/discovery.rs
+++ b/crates/oleanderpost-serving/src/discovery.rs
@@ -8,8 +8,8 @@
 };
 
 use crate::{
-    BootTime, Changes, DiscoveryError, DiscoverySource, NodeState, UpstreamChange, UpstreamId,
-    directory::RETURN_PATIENCE, discovery_source::Revision,
+    BootTime, Changes, DiscoveryError, DiscoverySource, NodeState, PeerKnowledge, UpstreamChange,
+    UpstreamId, directory::RETURN_PATIENCE, discovery_source::Revision,
 };
 
 /// Time for which a question about changes waits; a third of the usual limit on the age of evidence.
@@ -31,6 +31,8 @@
 const SNAPSHOT_LIMIT: Duration = Duration::from_millis(1_500);
 /// Shortest and longest pause after a failure.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(600));
+/// Pause between two questions to peers for all that they know.
+const PEER_STATE_EVERY: Duration = Duration::from_secs(1);
 /// Failures in a row after which the store counts as having been away; a single one may be a cut watch.
 const AWAY_AFTER: u32 = 2;
 
@@ -45,6 +47,9 @@
     urgent: bool,
     /// End of the patience with entries that are missing since the store was away.
     patience: Option<BootTime>,
+    peers: Option<Arc<dyn PeerKnowledge>>,
+    /// When a peer was last asked for what it knows.
+    peer_asked: Option<BootTime>,
 }
 
 impl Discovery {
@@ -63,6 +68,17 @@
             failures: 0,
             urgent: false,
             patience: None,
+            peers: None,
+            peer_asked: None,
+        }
+    }
+
+    /// Adds peers, which are asked while the store does not answer.
+    #[must_use]
+    pub fn with_peers(self, peers: Arc<dyn PeerKnowledge>) -> Self {
+        Self {
+            peers: Some(peers),
+            ..self
         }
     }
 
@@ -92,7 +108,10 @@
                     spdlog::info!("no peer vouches for this node, asking the store");
                     self.urgent = true;
                 }
-                Err(e) => self.note_failure(&e).await,
+                Err(e) => {
+                    self.note_failure(&e).await;
+                    self.ask_peers().await;
+                }
             }
             self.expire();
         }
@@ -170,6 +189,44 @@
         sleep(pause.min(BACKOFF.1)).await;
     }
 
+    /// Takes over what a peer knows if the store stays away from this node and the peer knows more.
+    ///
+    /// The store may turn away some nodes and serve others.
+    async fn ask_peers(&mut self) {
+        let now = BootTime::now();
+        let recent = |at: &BootTime| now.since(*at) < PEER_STATE_EVERY;
+        if self.failures < AWAY_AFTER || self.peer_asked.as_ref().is_some_and(recent) {
+            return;
+        }
+        if self.state.deployment().is_some() && self.is_vouched_for() {
+            return;
+        }
+        let Some(peers) = &self.peers else {
+            return;
+        };
+        self.peer_asked = Some(now);
+        let Some((asked_at, peer)) = peers.state().await else {
+            return;
+        };
+        let evidence = peer.evidence;
+        if evidence.revision > self.state.revision() {
+            spdlog::info!("knowledge of a peer taken over", kv: {
+                version = evidence.version, revision = evidence.revision, age_ms = evidence.age_ms
+            });
+            let changes = Changes {
+                revision: evidence.revision,
+                deployment: Some(peer.deployment),
+                upstreams: peer
+                    .upstreams
+                    .into_iter()
+                    .map(UpstreamChange::Put)
+                    .collect(),
+            };
+            self.take(changes, true);
+        }
+        self.state.note_peer(asked_at, evidence);
+    }
+
     /// Starts the patience with missing entries when the store answers again after an outage.
     fn note_return(&mut self, asked_at: BootTime, answered: bool) {
         let away = self.failures >= AWAY_AFTER;
--- a/crates/oleanderpost-serving/src/lib.rs
+++ b/crates/oleanderpost-serving/src/lib.rs
@@ -59,7 +59,9 @@
 mod node_state;
 mod open_answer;
 mod peer_evidence;
+mod peer_knowledge;
 mod peer_link;
+mod peer_state;
 mod placement;
 mod plain_balancer;
 mod plain_task;
@@ -121,7 +123,9 @@
     node::{Node, PlatformParts},
     node_state::NodeState,
     peer_evidence::PeerEvidence,
+    peer_knowledge::PeerKnowledge,
     peer_link::PeerLink,
+    peer_state::PeerState,
     plain_balancer::PlainBalancer,
     ran::Ran,
     reception::Reception,
--- a/crates/oleanderpost-serving/src/node.rs
+++ b/crates/oleanderpost-serving/src/node.rs
@@ -18,8 +18,8 @@
 
 use crate::{
     Admin, DecisionRouter, Discovery, DiscoverySource, EngineControl, Entry, Error, Front,
-    NodeState, Result, SchedulerClient, SchedulerHost, SchedulerMessage, Settings, UpstreamCodec,
-    node_name, seed_address::NameBook,
+    NodeState, PeerKnowledge, Result, SchedulerClient, SchedulerHost, SchedulerMessage, Settings,
+    UpstreamCodec, node_name, seed_address::NameBook,
 };
 
 /// Pause between two looks at requests in progress while a node drains.
@@ -99,7 +99,8 @@
         let admin = Admin::open(settings.admin_listen, Arc::clone(&entry), Arc::clone(&host))?;
         let (callers, admin_address) = (front.address()?, admin.address()?);
         let changed = Arc::new(Notify::new());
-        let discovery = Discovery::new(platform.source, Arc::clone(&state), Arc::clone(&changed));
+        let discovery = Discovery::new(platform.source, Arc::clone(&state), Arc::clone(&changed))
+            .with_peers(Arc::clone(&scheduler) as Arc<dyn PeerKnowledge>);
         let mut tasks = JoinSet::new();
         tasks.spawn(front.run());
         tasks.spawn(admin.run());
@@ -220,6 +221,10 @@
             }
             return None;
         }
+        if msg == SchedulerMessage::AskState {
+            let state = self.state.state_for_peers().map(Box::new);
+            return Some(SchedulerMessage::State { state });
+        }
         let mut answer = self.host.handle(from, msg, false);
         if let Some(SchedulerMessage::Attended { evidence, .. }) = &mut answer {
             *evidence = self.state.evidence_for_peers();
--- a/crates/oleanderpost-serving/src/node_state.rs
+++ b/crates/oleanderpost-serving/src/node_state.rs
@@ -12,8 +12,8 @@
 use tokio::sync::Notify;
 
 use crate::{
-    BootTime, Deployment, Directory, Drain, Evidence, PeerEvidence, ServiceName, Upstream,
-    UpstreamId,
+    BootTime, Deployment, Directory, Drain, Evidence, PeerEvidence, PeerState, ServiceName,
+    Upstream, UpstreamId,
 };
 
 /// What a node knows: the configuration in force, the upstreams, and how fresh its knowledge is.
@@ -108,6 +108,24 @@
         })
     }
 
+    /// All that this node knows; `None` without a configuration.
+    #[must_use]
+    pub fn state_for_peers(&self) -> Option<PeerState> {
+        let evidence = self.evidence_for_peers()?;
+        let deployment = self.deployment()?;
+        let directory = self.directory();
+        let known = directory.ids().filter_map(|id| directory.get(id));
+        let upstreams = known.map(|upstream| Upstream {
+            draining: !directory.is_usable(&upstream.id),
+            ..Upstream::clone(upstream)
+        });
+        Some(PeerState {
+            evidence,
+            deployment: Deployment::clone(&deployment),
+            upstreams: upstreams.collect(),
+        })
+    }
+
     /// Takes a peer's evidence, asked for at `asked_at`; `true` if it says that this node is current.
     ///
     /// It counts only if this node has that version or a newer one. Its age counts from the sending of the
--- a/crates/oleanderpost-serving/src/route.rs
+++ b/crates/oleanderpost-serving/src/route.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::{RouteKind, RouteName, ServiceName};
 
 /// Time limit of a route that states none.
@@ -10,7 +12,7 @@
 const OBJECTIVE_DEFAULT: Duration = Duration::from_secs(1);
 
 /// Where requests of one host and path prefix go, and how they are treated.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     /// Name.
     pub name: RouteName,
--- a/crates/oleanderpost-serving/src/route_kind.rs
+++ b/crates/oleanderpost-serving/src/route_kind.rs
@@ -1,7 +1,9 @@
 //! [`RouteKind`].
 
+use serde::{Deserialize, Serialize};
+
 /// How often requests of a route may run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RouteKind {
     /// Idempotent: may run any number of times.
     Idempotent,
--- a/crates/oleanderpost-serving/src/scheduler_client.rs
+++ b/crates/oleanderpost-serving/src/scheduler_client.rs
@@ -16,14 +16,16 @@
 };
 
 use crate::{
-    BootTime, Decision, DecisionSink, Grant, HeldWork, Lease, NodeState, PeerLink, SchedulerHost,
-    SchedulerMessage, ServiceName, Work, WorkEnd, WorkId,
+    BootTime, Decision, DecisionSink, Grant, HeldWork, Lease, NodeState, PeerKnowledge, PeerLink,
+    PeerState, SchedulerHost, SchedulerMessage, ServiceName, Work, WorkEnd, WorkId,
 };
 
 /// Time for the answer to a question; the way between two data centres takes about a millisecond.
 const ASK_LIMIT: Duration = Duration::from_millis(150);
 /// Time for the answer to a sign of life.
 const ATTEND_LIMIT: Duration = Duration::from_millis(300);
+/// Time for the answer with all that a peer knows: some tens of kilobytes.
+const STATE_LIMIT: Duration = Duration::from_millis(500);
 /// Pause between two signs of life.
 const ATTEND_EVERY: Duration = Duration::from_millis(500);
 /// Time for which a scheduler that did not answer is passed over.
@@ -370,6 +372,25 @@
     }
 }
 
+#[async_trait::async_trait]
+impl PeerKnowledge for SchedulerClient {
+    async fn state(&self) -> Option<(BootTime, PeerState)> {
+        for seed in self.order() {
+            if seed == self.own {
+                continue;
+            }
+            let asked_at = BootTime::now();
+            let answer = self
+                .exchange(&seed, SchedulerMessage::AskState, STATE_LIMIT)
+                .await;
+            if let Some(SchedulerMessage::State { state: Some(state) }) = answer {
+                return Some((asked_at, *state));
+            }
+        }
+        None
+    }
+}
+
 /// Delivers decisions of the own host: to this node directly, to others by their links.
 pub struct DecisionRouter {
     client: std::sync::Weak<SchedulerClient>,
--- a/crates/oleanderpost-serving/src/scheduler_host.rs
+++ b/crates/oleanderpost-serving/src/scheduler_host.rs
@@ -151,7 +151,9 @@
             }
             SchedulerMessage::Decided { .. }
             | SchedulerMessage::NotServing
-            | SchedulerMessage::Attended { .. } => None,
+            | SchedulerMessage::Attended { .. }
+            | SchedulerMessage::AskState
+            | SchedulerMessage::State { .. } => None,
         }
     }
 
--- a/crates/oleanderpost-serving/src/scheduler_message.rs
+++ b/crates/oleanderpost-serving/src/scheduler_message.rs
@@ -3,7 +3,7 @@
 use oleanderpost_peers::MessageKind;
 use serde::{Deserialize, Serialize};
 
-use crate::{Decision, PeerEvidence, ServiceName, UpstreamId, Work, WorkEnd, WorkId};
+use crate::{Decision, PeerEvidence, PeerState, ServiceName, UpstreamId, Work, WorkEnd, WorkId};
 
 /// A placement as its node knows it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -73,6 +73,13 @@
         /// The placements.
         held: Vec<HeldWork>,
     },
+    /// A node that the store does not answer asks for all that another one knows.
+    AskState,
+    /// Answer to [`AskState`](Self::AskState).
+    State {
+        /// What the node knows; `None` without a configuration.
+        state: Option<Box<PeerState>>,
+    },
 }
 
 impl MessageKind for SchedulerMessage {
@@ -86,6 +93,8 @@
             Self::Attend { .. } => "attend",
             Self::Attended { .. } => "attended",
             Self::Adopt { .. } => "adopt",
+            Self::AskState => "ask_state",
+            Self::State { .. } => "state",
         }
     }
 }
--- a/crates/oleanderpost-serving/src/upstream.rs
+++ b/crates/oleanderpost-serving/src/upstream.rs
@@ -2,10 +2,12 @@
 
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Serialize};
+
 use crate::{DataCentreName, ServiceName, UpstreamId};
 
 /// One running upstream, as it describes itself.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Upstream {
     /// Identifier.
     pub id: UpstreamId,
