One retry policy for both front doors

Change: RetryPolicy takes RetryTerms in place of a route; the daemon asks it with its call's terms and counts failed attempts in Attempts. Entry::may_retry serves both tasks. oleanderpost-admission's RetryBudget and its doc example are gone; requests_give_a_drained_budget_a_share_of_repeats takes the example's place: bound without requests, share with requests, and that nothing runs twice. The facade re-exports the entry node's parts.

Differences for the daemon, wanted: an attempt that failed before its first byte is repeated also where the request may not run twice; after seven refusals of upstreams a request is refused; the reserve of ten is counted over ten seconds.

Claims on callers' keys, permits and answers as problem details have no place in the entry node's path yet.

--- a/crates/oleanderpost-admission/src/lib.rs
+++ b/crates/oleanderpost-admission/src/lib.rs
@@ -54,7 +54,6 @@
 mod queue;
 mod refusal;
 mod rendezvous;
-mod retry_budget;
 mod search;
 mod settings;
 mod shared;
@@ -83,7 +82,6 @@
         PermitMessage, Quote, Refused, Renewal, Report,
     },
     refusal::{Reason, Refusal},
-    retry_budget::RetryBudget,
     settings::Settings,
     step_model::{PrefillWork, StepModel},
 };
--- a/crates/oleanderpost-serving/src/entry.rs
+++ b/crates/oleanderpost-serving/src/entry.rs
@@ -9,9 +9,9 @@
 };
 
 use crate::{
-    BootTime, DataCentreName, EngineControl, LogBudget, Metrics, NodeState, PlainBalancer,
-    RetryPolicy, SchedulerClient, Settings, UpstreamCodec, body_budget::BodyBudget, call::Call,
-    idle_share, upstream_client::UpstreamClient,
+    Attempts, BootTime, DataCentreName, EngineControl, LogBudget, Metrics, NodeState,
+    PlainBalancer, RetryPolicy, SchedulerClient, Settings, UpstreamCodec, body_budget::BodyBudget,
+    call::Call, idle_share, upstream_client::UpstreamClient,
 };
 
 /// Share of the process's memory that bodies of requests may take.
@@ -101,6 +101,19 @@
         self.balancer.retain(|id| directory.get(id).is_some());
     }
 
+    /// Whether the call goes to another upstream after `attempts` have failed; takes it from the budget.
+    pub(crate) fn may_retry(&self, call: &Call, attempts: Attempts) -> bool {
+        !self.must_not_dispatch(call)
+            && self.retries.allows(
+                call.route.retry_terms(),
+                &call.service,
+                attempts,
+                call.left(),
+                self.scheduler.nodes(),
+                BootTime::now(),
+            )
+    }
+
     /// Whether the call may not go to any upstream now: its key may have been taken away.
     pub(crate) fn must_not_dispatch(&self, call: &Call) -> bool {
         call.is_keyed() && !self.state.is_fresh()
--- a/crates/oleanderpost-serving/src/lib.rs
+++ b/crates/oleanderpost-serving/src/lib.rs
@@ -73,6 +73,7 @@
 mod reservations;
 mod retry_budget;
 mod retry_policy;
+mod retry_terms;
 mod route;
 mod route_kind;
 mod scheduler;
@@ -132,6 +133,7 @@
     rejection::Rejection,
     retry_budget::RetryBudget,
     retry_policy::{Attempts, RetryPolicy},
+    retry_terms::RetryTerms,
     route::Route,
     route_kind::RouteKind,
     scheduler::Scheduler,
--- a/crates/oleanderpost-serving/src/plain_task.rs
+++ b/crates/oleanderpost-serving/src/plain_task.rs
@@ -76,19 +76,7 @@
     }
 
     fn may_retry(&self) -> bool {
-        if self.entry.must_not_dispatch(self.call) {
-            return false;
-        }
-        let nodes = self.entry.scheduler.nodes();
-        let (route, service) = (&self.call.route, &self.call.service);
-        self.entry.retries.allows(
-            route,
-            service,
-            self.attempts,
-            self.call.left(),
-            nodes,
-            BootTime::now(),
-        )
+        self.entry.may_retry(self.call, self.attempts)
     }
 
     async fn attempt(&self, upstream: &Upstream) -> Result<Whole, AttemptError> {
--- a/crates/oleanderpost-serving/src/retry_policy.rs
+++ b/crates/oleanderpost-serving/src/retry_policy.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use crate::{BootTime, Ran, RetryBudget, Route, ServiceName};
+use crate::{BootTime, Ran, RetryBudget, RetryTerms, ServiceName};
 
 /// Refusals of upstreams after which a request is refused itself.
 const MAX_REFUSALS: u32 = 6;
@@ -65,16 +65,16 @@
     /// Whether the request may go to another upstream; takes it from the budget.
     pub fn allows(
         &self,
-        route: &Route,
+        terms: RetryTerms,
         service: &ServiceName,
         attempts: Attempts,
         left: Duration,
         nodes: usize,
         now: BootTime,
     ) -> bool {
-        let repeatable = route.kind.is_repeatable() || attempts.may_have_run == 0;
-        let within =
-            attempts.may_have_run < route.max_attempts.max(1) && attempts.not_run <= MAX_REFUSALS;
+        let repeatable = terms.repeatable || attempts.may_have_run == 0;
+        let most = terms.max_attempts.unwrap_or(u32::MAX);
+        let within = attempts.may_have_run < most && attempts.not_run <= MAX_REFUSALS;
         repeatable
             && within
             && left > LEAST_LEFT
--- a/crates/oleanderpost-serving/src/route.rs
+++ b/crates/oleanderpost-serving/src/route.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{RouteKind, RouteName, ServiceName};
+use crate::{RetryTerms, RouteKind, RouteName, ServiceName};
 
 /// Time limit of a route that states none.
 const TIMEOUT_DEFAULT: Duration = Duration::from_secs(30);
@@ -63,6 +63,15 @@
         }
     }
 
+    /// What its kind allows when an attempt fails.
+    #[must_use]
+    pub fn retry_terms(&self) -> RetryTerms {
+        RetryTerms {
+            repeatable: self.kind.is_repeatable(),
+            max_attempts: Some(self.max_attempts.max(1)),
+        }
+    }
+
     /// The service for a request, by its share of the weights.
     ///
     /// `draw` is uniform over all values; equal draws give equal services.
--- a/crates/oleanderpost-serving/src/stream_task.rs
+++ b/crates/oleanderpost-serving/src/stream_task.rs
@@ -10,8 +10,8 @@
 };
 
 use crate::{
-    AnswerBody, AnswerHead, AttemptError, AttemptHead, Attempts, BootTime, BrokenOff, Entry, Event,
-    Ran, Rejection, UpstreamId, WorkEnd,
+    AnswerBody, AnswerHead, AttemptError, AttemptHead, Attempts, BrokenOff, Entry, Event, Ran,
+    Rejection, UpstreamId, WorkEnd,
     call::Call,
     engine_finder::{COME_BACK, EngineFinder, Unplaced},
     event_source::{EventError, EventSource, NextEvent},
@@ -154,19 +154,7 @@
     }
 
     fn may_retry(&self) -> bool {
-        if self.entry.must_not_dispatch(&self.call) {
-            return false;
-        }
-        let nodes = self.entry.scheduler.nodes();
-        let (route, service) = (&self.call.route, &self.call.service);
-        self.entry.retries.allows(
-            route,
-            service,
-            self.attempts,
-            self.call.left(),
-            nodes,
-            BootTime::now(),
-        )
+        self.entry.may_retry(&self.call, self.attempts)
     }
 
     /// Sends the request and waits for the first event.
--- a/crates/oleanderpost-serving/tests/rules.rs
+++ b/crates/oleanderpost-serving/tests/rules.rs
@@ -4,8 +4,8 @@
 
 use oleanderpost_serving::{
     Account, AccountName, Attempts, BootTime, DataCentreName, Deployment, Directory, Event,
-    EventSplitter, Evidence, Ran, RetryBudget, RetryPolicy, Route, RouteKind, RouteName,
-    ServiceName, Settings, Upstream, UpstreamId, idle_share,
+    EventSplitter, Evidence, Ran, RetryBudget, RetryPolicy, RetryTerms, Route, RouteKind,
+    RouteName, ServiceName, Settings, Upstream, UpstreamId, idle_share,
 };
 
 fn at(ms: u64) -> BootTime {
@@ -75,8 +75,16 @@
     let policy = RetryPolicy::new(1.0, 1_000.0, Duration::from_secs(10));
     let service = ServiceName::new("a");
     let left = Duration::from_secs(1);
-    let allows =
-        |kind, attempts| policy.allows(&route("/x/", kind), &service, attempts, left, 1, at(0));
+    let allows = |kind, attempts| {
+        policy.allows(
+            route("/x/", kind).retry_terms(),
+            &service,
+            attempts,
+            left,
+            1,
+            at(0),
+        )
+    };
     let ran = Attempts {
         may_have_run: 1,
         not_run: 0,
@@ -308,3 +316,36 @@
         (Duration::from_secs(30), Duration::from_secs(1))
     );
 }
+
+#[test]
+fn requests_give_a_drained_budget_a_share_of_repeats() {
+    let policy = RetryPolicy::new(0.5, 10.0, Duration::from_secs(10));
+    let service = ServiceName::new("a");
+    let terms = RetryTerms {
+        repeatable: false,
+        max_attempts: None,
+    };
+    let allows =
+        |attempts| policy.allows(terms, &service, attempts, Duration::from_secs(1), 1, at(0));
+    let mut first = 0;
+    while allows(Attempts::default()) {
+        first += 1;
+    }
+    assert!((1..=10).contains(&first), "{first} without any request");
+    for _ in 0..10 {
+        policy.note_request(&service, at(0));
+    }
+    let mut further = 0;
+    while allows(Attempts::default()) {
+        further += 1;
+    }
+    assert!((1..=5).contains(&further), "{further} for ten requests");
+    for _ in 0..100 {
+        policy.note_request(&service, at(0));
+    }
+    let ran = Attempts {
+        may_have_run: 1,
+        not_run: 0,
+    };
+    assert!(!allows(ran), "it may have run, and must not run twice");
+}
--- a/crates/oleanderpost/src/lib.rs
+++ b/crates/oleanderpost/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`admission`]: owners of engines, permits, classes by prompt length, fair shares, limits
 //! - [`claims`]: request keys that run at most once, orders to engines
 //! - [`dispatch`]: one answer of an engine, whole and in order, over connections that break or go silent
+//! - [`serving`]: the request path of an entry node: scheduler of engines, retries, evidence of fresh configuration
 //! - [`types`]: identifiers, units and wire types that all of them use
 //!
 //! An embedder takes the parts it needs and implements their traits. A node without peers that reads
@@ -75,4 +76,5 @@
 pub use oleanderpost_config as config;
 pub use oleanderpost_dispatch as dispatch;
 pub use oleanderpost_peers as peers;
+pub use oleanderpost_serving as serving;
 pub use oleanderpost_types as types;
--- a/crates/oleanderpostd/src/dispatch.rs
+++ b/crates/oleanderpostd/src/dispatch.rs
@@ -7,6 +7,7 @@
     claims::Claim,
     types::{Attempt, Millis, Outcome, Problem, UpstreamId},
 };
+use oleanderpost_serving::{Attempts, BootTime, Ran, RetryTerms, ServiceName};
 use tokio::time::sleep;
 
 use crate::{
@@ -14,9 +15,6 @@
     node::new_backoff,
 };
 
-/// Time that must be left for another attempt to make sense.
-const LEAST_TIME_LEFT: Duration = Duration::from_millis(50);
-
 /// Hint on when to come back after the last attempt failed.
 const RETRY_AFTER_FAILURE: Duration = Duration::from_secs(1);
 
@@ -29,8 +27,8 @@
     backoff: Backoff,
     attempt: Attempt,
     excluded: Vec<UpstreamId>,
-    /// Whether an attempt that has ended may have run at an upstream.
-    ever_sent: bool,
+    /// Attempts that have failed.
+    failed: Attempts,
 }
 
 impl Dispatch {
@@ -45,7 +43,7 @@
             backoff,
             attempt: Attempt::new(0),
             excluded: Vec::new(),
-            ever_sent: false,
+            failed: Attempts::default(),
         }
     }
 
@@ -56,7 +54,7 @@
 
     /// Whether an attempt that has ended may have run at an upstream.
     pub(crate) fn ever_sent(&self) -> bool {
-        self.ever_sent
+        self.failed.may_have_run > 0
     }
 
     /// Notes how far the request has come.
@@ -68,7 +66,8 @@
     ///
     /// A key that this node made is known to no other, and the node dispatches it once.
     pub(crate) async fn claim(&mut self) -> Result<(), Failure> {
-        self.node.budget.request();
+        let service = budget_name(&self.call);
+        self.node.retries.note_request(&service, BootTime::now());
         if self.call.repeatable || !self.call.caller_key {
             return Ok(());
         }
@@ -99,7 +98,7 @@
             admitted = self.node.admission.admit(req).await;
         }
         admitted.map_err(|refusal| {
-            Failure::Final(failure::refused(&self.call, self.ever_sent, &refusal))
+            Failure::Final(failure::refused(&self.call, self.ever_sent(), &refusal))
         })
     }
 
@@ -120,19 +119,35 @@
     /// Notes how an attempt at an upstream failed; `written` tells whether a byte may have gone out.
     pub(crate) fn note_failure(&mut self, failure: &Failure, to: &UpstreamId, written: bool) {
         self.excluded.push(to.clone());
-        match failure {
-            Failure::NotRun(_) => {}
-            Failure::Leaving(_) => self.node.mark_leaving(to),
-            _ => self.ever_sent |= written,
-        }
+        let ran = match failure {
+            Failure::NotRun(_) => Ran::No,
+            Failure::Leaving(_) => {
+                self.node.mark_leaving(to);
+                Ran::Gone
+            }
+            _ if written => Ran::Maybe,
+            _ => Ran::No,
+        };
+        self.failed.note(ran);
     }
 
     /// Whether another attempt follows; waits until it is due.
     pub(crate) async fn retry(&mut self, failure: &Failure) -> bool {
         let delay = self.backoff.next_delay();
-        let allowed = failure.allows_retry(&self.call)
-            && self.call.time_left() > delay + LEAST_TIME_LEFT
-            && self.node.budget.try_retry();
+        let terms = RetryTerms {
+            repeatable: self.call.repeatable,
+            max_attempts: None,
+        };
+        let allowed = !failure.is_final()
+            && self.node.retries.allows(
+                terms,
+                &budget_name(&self.call),
+                self.failed,
+                self.call.time_left().saturating_sub(delay),
+                // Each node of the daemon has a budget of its own.
+                1,
+                BootTime::now(),
+            );
         if !allowed {
             return false;
         }
@@ -185,6 +200,11 @@
     }
 }
 
+/// Name under which the retry policy knows the service.
+fn budget_name(call: &Call) -> ServiceName {
+    ServiceName::new(call.service.name.as_str())
+}
+
 /// Whether admission does not know what the request names.
 fn is_unknown(refusal: &Refusal) -> bool {
     matches!(
--- a/crates/oleanderpostd/src/failure.rs
+++ b/crates/oleanderpostd/src/failure.rs
@@ -54,13 +54,9 @@
         }
     }
 
-    /// Whether another attempt may follow, if time and budget allow.
-    pub(crate) fn allows_retry(&self, call: &Call) -> bool {
-        match self {
-            Self::NotRun(_) | Self::Leaving(_) => true,
-            Self::Lost(_) => call.repeatable,
-            Self::Final(_) | Self::CallerGone => false,
-        }
+    /// Whether no further attempt makes sense, whatever the request allows.
+    pub(crate) fn is_final(&self) -> bool {
+        matches!(self, Self::Final(_) | Self::CallerGone)
     }
 }
 
--- a/crates/oleanderpostd/src/node.rs
+++ b/crates/oleanderpostd/src/node.rs
@@ -9,12 +9,13 @@
 };
 
 use oleanderpost::{
-    admission::{Admission, Backoff, Permit, RetryBudget},
+    admission::{Admission, Backoff, Permit},
     claims::{Claim, ClaimEnd, Claims, Orders, Refusal},
     config::{Convergence, Snapshot},
     peers::{Links, PauseWatch, Roster},
     types::{Millis, Problem, RequestKey, UpstreamId},
 };
+use oleanderpost_serving::RetryPolicy;
 use tokio_util::task::TaskTracker;
 
 use crate::{
@@ -24,6 +25,10 @@
 
 /// Retries for each request that is admitted.
 pub(crate) const RETRY_SHARE: f64 = 0.2;
+/// Retries besides, so that the first requests of a quiet node may be retried too.
+pub(crate) const RETRY_SLACK: f64 = 10.0;
+/// Time over which both are counted.
+pub(crate) const RETRY_WINDOW: Duration = Duration::from_secs(10);
 /// Longest pause before the first retry.
 const BACKOFF_FIRST: Duration = Duration::from_millis(50);
 /// Longest pause before any retry.
@@ -39,7 +44,7 @@
     pub(crate) settings: Settings,
     pub(crate) metrics: Metrics,
     pub(crate) in_flight: InFlight,
-    pub(crate) budget: RetryBudget,
+    pub(crate) retries: RetryPolicy,
     pub(crate) engines: EngineClient,
     pub(crate) plain: PlainClient,
     pub(crate) admission: Admission,
--- a/crates/oleanderpostd/src/parts.rs
+++ b/crates/oleanderpostd/src/parts.rs
@@ -6,19 +6,21 @@
 };
 
 use oleanderpost::{
-    admission::{Admission, RetryBudget},
+    admission::Admission,
     claims::{Claims, ClaimsBuilder, Orders, OrdersBuilder},
     config::Convergence,
     peers::{Links, LinksBuilder, PauseWatch, Roster, RosterBuilder, SharedKey, SystemClock},
     types::Incarnation,
 };
+use oleanderpost_serving::RetryPolicy;
 use rand::{SeedableRng, rngs::StdRng};
 use tokio_util::task::TaskTracker;
 
 use crate::{
     ClaimsObserver, ConfigLink, ControlMetrics, EngineClient, EngineLink, Error, FleetDirectory,
     InFlight, LateLinks, Message, Metrics, Node, OrderLink, OrderPlans, OwnerLink, PeerHandler,
-    PlainClient, PlatformClient, Result, Settings, WitnessLink, node::RETRY_SHARE,
+    PlainClient, PlatformClient, Result, Settings, WitnessLink,
+    node::{RETRY_SHARE, RETRY_SLACK, RETRY_WINDOW},
 };
 
 /// Period in which a pause of the process shows.
@@ -79,7 +81,7 @@
             settings: self.settings,
             metrics: Metrics::new().with_control(control),
             in_flight: InFlight::default(),
-            budget: RetryBudget::new(RETRY_SHARE),
+            retries: RetryPolicy::new(RETRY_SHARE, RETRY_SLACK, RETRY_WINDOW),
             engines,
             admission,
             claims,
