Entry node: all faults of the settings file are named at once

Cause: the file was decoded in one go, so the first missing or mistyped field hid all others; a span of 1e300 s passed the checks and would have ended the process when it became a duration.

Change: SettingsFields reads field by field and collects faults, each with what is allowed; numbers have an upper bound.

Ruled out: a schema library, for sixteen fields.

--- a/crates/oleanderpost-serving/src/lib.rs
+++ b/crates/oleanderpost-serving/src/lib.rs
@@ -83,6 +83,7 @@
 mod seed_address;
 mod service;
 mod settings;
+mod settings_fields;
 mod stream_task;
 mod text_ids;
 mod upstream;
--- a/crates/oleanderpost-serving/src/settings.rs
+++ b/crates/oleanderpost-serving/src/settings.rs
@@ -1,18 +1,32 @@
 //! [`Settings`].
 
-use std::{net::SocketAddr, path::Path, time::Duration};
+use std::{net::SocketAddr, ops::RangeInclusive, path::Path, time::Duration};
 
-use serde::Deserialize;
-
-use crate::{DataCentreName, Error, Result};
+use crate::{DataCentreName, Error, Result, settings_fields::SettingsFields};
 
 /// Margin that is taken off the age of evidence, for the way of a request to its upstream.
 const EVIDENCE_MARGIN: Duration = Duration::from_millis(150);
 /// Time before the platform's kill at which a node that drains stops by itself.
 const DRAIN_MARGIN: Duration = Duration::from_millis(500);
 
+/// Longest time for which a key may pass after it was taken away, if the file states none: half of the time in
+/// which operators expect a leaked key to be dead everywhere.
+const REVOKE_MS: f64 = 5_000.0;
+/// Time between the signal to stop and the kill: usual for service managers.
+const GRACE_S: f64 = 8.0;
+/// Repeats for each request: customary for retry budgets.
+const RETRY_RATIO: f64 = 0.1;
+/// Window in which repeats are counted.
+const RETRY_WINDOW_S: f64 = 10.0;
+/// Longest reservation of an engine's memory: the time limit of a long prompt.
+const RESERVATION_MAX_MS: f64 = 10_000.0;
+/// Longest span that a setting may state: one hour.
+const LONGEST_MS: f64 = 3_600_000.0;
+/// Greatest number of repeats that a setting may state.
+const MOST_REPEATS: f64 = 1e9;
+
 /// Settings of an entry node. Durations carry their unit in the name.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Name in logs.
     pub name: String,
@@ -25,29 +39,22 @@
     /// Address for other nodes.
     pub links_listen: SocketAddr,
     /// Addresses of nodes through which others are found.
-    #[serde(default)]
     pub seeds: Vec<SocketAddr>,
     /// Secret that all nodes share.
     pub link_key: String,
     /// Address of the platform's store.
     pub store: SocketAddr,
     /// Longest time for which a key may pass after it was taken away.
-    #[serde(default = "default_revoke_ms")]
     pub revoke_ms: f64,
     /// Time between the signal to stop and the kill.
-    #[serde(default = "default_grace_s")]
     pub grace_s: f64,
     /// Repeats that are allowed for each request.
-    #[serde(default = "default_retry_ratio")]
     pub retry_ratio: f64,
     /// Repeats that are allowed besides, for all nodes together.
-    #[serde(default)]
     pub retry_slack: f64,
     /// Window in which repeats are counted.
-    #[serde(default = "default_retry_window_s")]
     pub retry_window_s: f64,
     /// Longest reservation of an engine's memory.
-    #[serde(default = "default_reservation_max_ms")]
     pub reservation_max_ms: f64,
     /// Descriptors that the process may use.
     pub descriptors: usize,
@@ -55,29 +62,6 @@
     pub memory_mb: u64,
 }
 
-/// Five seconds: half of the time in which operators expect a leaked key to be dead everywhere.
-const fn default_revoke_ms() -> f64 {
-    5_000.0
-}
-
-/// Usual time between SIGTERM and SIGKILL of service managers.
-const fn default_grace_s() -> f64 {
-    8.0
-}
-
-/// One repeat for ten requests, as is customary for retry budgets.
-const fn default_retry_ratio() -> f64 {
-    0.1
-}
-
-const fn default_retry_window_s() -> f64 {
-    10.0
-}
-
-const fn default_reservation_max_ms() -> f64 {
-    10_000.0
-}
-
 impl Settings {
     /// Reads and checks a settings file in YAML.
     ///
@@ -98,43 +82,63 @@
     ///
     /// [`Error::Settings`] with every fault.
     pub fn parse(text: &str) -> Result<Self> {
-        let settings: Self =
-            serde_saphyr::from_str(text).map_err(|e| Error::Settings(vec![e.to_string()]))?;
-        let faults = settings.faults();
-        if faults.is_empty() {
-            Ok(settings)
-        } else {
-            Err(Error::Settings(faults))
+        let mut fields = SettingsFields::new(text).map_err(|fault| Error::Settings(vec![fault]))?;
+        let read = Self::read_fields(&mut fields);
+        let faults = fields.into_faults();
+        match read {
+            Some(settings) if faults.is_empty() => Ok(settings),
+            _ => Err(Error::Settings(faults)),
         }
     }
 
-    fn faults(&self) -> Vec<String> {
-        let checks = [
-            (
-                self.link_key.len() >= oleanderpost_peers::MIN_KEY_LEN,
-                "link_key: at least 16 bytes",
-            ),
-            (self.revoke_ms >= 500.0, "revoke_ms: at least 500"),
-            (self.grace_s >= 0.5, "grace_s: at least 0.5"),
-            (self.retry_ratio >= 0.0, "retry_ratio: at least 0"),
-            (self.retry_slack >= 0.0, "retry_slack: at least 0"),
-            (self.retry_window_s > 0.0, "retry_window_s: more than 0"),
-            (
-                self.reservation_max_ms >= 100.0,
-                "reservation_max_ms: at least 100",
-            ),
-            (self.descriptors >= 256, "descriptors: at least 256"),
-            (self.memory_mb >= 64, "memory_mb: at least 64"),
-            (
-                !self.data_centre.is_empty(),
-                "data_centre: must not be empty",
-            ),
-        ];
-        checks
-            .iter()
-            .filter(|(sound, _)| !sound)
-            .map(|(_, text)| (*text).to_owned())
-            .collect()
+    /// Reads all fields, also behind a faulty one; `None` if a required one is not sound.
+    fn read_fields(fields: &mut SettingsFields) -> Option<Self> {
+        const ADDRESS: &str = "an address with a port";
+        let any_text = |text: &String| !text.is_empty();
+        let any_address = |_: &SocketAddr| true;
+        let name = fields.required("name", "a text", any_text);
+        let data_centre = fields.required("data_centre", "a text, not empty", any_text);
+        let callers_listen = fields.required("callers_listen", ADDRESS, any_address);
+        let admin_listen = fields.required("admin_listen", ADDRESS, any_address);
+        let links_listen = fields.required("links_listen", ADDRESS, any_address);
+        let seeds = fields.optional("seeds", "a list of addresses", |_: &Vec<SocketAddr>| true);
+        let link_key =
+            fields.required("link_key", "a text of at least 16 bytes", |key: &String| {
+                key.len() >= oleanderpost_peers::MIN_KEY_LEN
+            });
+        let store = fields.required("store", ADDRESS, any_address);
+        let mut number = |name: &str, range: RangeInclusive<f64>, default| {
+            let allowed = format!("a number of {} to {}", range.start(), range.end());
+            let read = fields.optional(name, &allowed, |number| range.contains(number));
+            read.unwrap_or(default)
+        };
+        let revoke_ms = number("revoke_ms", 500.0..=LONGEST_MS, REVOKE_MS);
+        let grace_s = number("grace_s", 0.5..=LONGEST_MS / 1e3, GRACE_S);
+        let retry_ratio = number("retry_ratio", 0.0..=MOST_REPEATS, RETRY_RATIO);
+        let retry_slack = number("retry_slack", 0.0..=MOST_REPEATS, 0.0);
+        let retry_window_s = number("retry_window_s", 0.1..=LONGEST_MS / 1e3, RETRY_WINDOW_S);
+        let reservation_max_ms =
+            number("reservation_max_ms", 100.0..=LONGEST_MS, RESERVATION_MAX_MS);
+        let descriptors = fields.required("descriptors", "a number of at least 256", |n| *n >= 256);
+        let memory_mb = fields.required("memory_mb", "a number of at least 64", |n| *n >= 64);
+        Some(Self {
+            name: name?,
+            data_centre: data_centre?,
+            callers_listen: callers_listen?,
+            admin_listen: admin_listen?,
+            links_listen: links_listen?,
+            seeds: seeds.unwrap_or_default(),
+            link_key: link_key?,
+            store: store?,
+            revoke_ms,
+            grace_s,
+            retry_ratio,
+            retry_slack,
+            retry_window_s,
+            reservation_max_ms,
+            descriptors: descriptors?,
+            memory_mb: memory_mb?,
+        })
     }
 
     /// Data centre of the node.
--- a/crates/oleanderpost-serving/tests/rules.rs
+++ b/crates/oleanderpost-serving/tests/rules.rs
@@ -349,3 +349,27 @@
     };
     assert!(!allows(ran), "it may have run, and must not run twice");
 }
+
+#[test]
+fn missing_and_mistyped_settings_are_named_together() {
+    let text = "name: n\ncallers_listen: nowhere\nlinks_listen: 127.0.0.1:3\nlink_key: a key for the tests only\n\
+                grace_s: 1e300\nrevoke_ms: soon\nretry_slack: -1\nseeds: [here]\nunknown: 1\n";
+    let fault = Settings::parse(text).unwrap_err().to_string();
+    for field in [
+        "data_centre: missing",
+        "callers_listen: an address",
+        "admin_listen: missing",
+        "seeds: a list",
+        "store: missing",
+        "grace_s: a number of 0.5 to",
+        "revoke_ms: a number of 500 to",
+        "retry_slack: a number of 0 to",
+        "descriptors: missing",
+        "memory_mb: missing",
+    ] {
+        assert!(fault.contains(field), "{field}: {fault}");
+    }
+    for field in ["unknown", "links_listen", "link_key"] {
+        assert!(!fault.contains(field), "{field}: {fault}");
+    }
+}
