Metrics: size classes, failed attempts and the node's state

Change: first_event_seconds by route and size, attempts_failed by step, gauges that are set at each question.

Ruled out: a histogram for each engine; a node sees up to 2,900.

Test: metrics_tell_sizes_failed_attempts_and_the_state over the operators' listener.

--- a/crates/oleanderpost-serving/src/admin.rs
+++ b/crates/oleanderpost-serving/src/admin.rs
@@ -11,6 +11,7 @@
 use crate::{
     AnswerBody, Entry, Error, Result, SchedulerHost,
     front::{bind, local_address},
+    node_gauges::NodeReading,
 };
 
 /// Longest time that a connection may stay idle.
@@ -97,7 +98,7 @@
         req: Request<Incoming>,
     ) -> std::result::Result<Response<AnswerBody>, Infallible> {
         let resp = match req.uri().path() {
-            "/metrics" => Response::new(AnswerBody::new(self.entry.metrics().text())),
+            "/metrics" => Response::new(AnswerBody::new(self.metrics())),
             "/dump" => Response::new(AnswerBody::new(self.dump())),
             _ => self.readiness(),
         };
@@ -112,6 +113,21 @@
         resp
     }
 
+    fn metrics(&self) -> String {
+        let state = &self.entry.state;
+        let (waiting, placed) = self.host.counts();
+        self.entry.metrics().text(NodeReading {
+            ready: state.is_ready(),
+            configuration: state.deployment().map_or(0, |d| d.version()),
+            evidence_age_s: state.evidence_age().map_or(-1.0, |age| age.as_secs_f64()),
+            upstreams: state.directory().ids().count(),
+            in_progress: self.entry.in_progress(),
+            waiting,
+            placed,
+            tries: self.host.tries(),
+        })
+    }
+
     fn dump(&self) -> String {
         let state = &self.entry.state;
         let (scheduler_waiting, scheduler_placed) = self.host.counts();
--- a/crates/oleanderpost-serving/src/lib.rs
+++ b/crates/oleanderpost-serving/src/lib.rs
@@ -56,6 +56,7 @@
 mod metrics;
 mod no_room;
 mod node;
+mod node_gauges;
 mod node_state;
 mod open_answer;
 mod peer_evidence;
--- a/crates/oleanderpost-serving/src/plain_task.rs
+++ b/crates/oleanderpost-serving/src/plain_task.rs
@@ -125,6 +125,7 @@
 
     fn note_error(&mut self, e: &AttemptError) {
         self.attempts.note(e.ran);
+        self.entry.metrics.attempt_failed(e);
         self.tried.push(e.upstream.clone());
         if e.ran == Ran::Gone {
             self.entry.state.directory().mark_leaving(&e.upstream);
--- a/crates/oleanderpost-serving/src/stream_task.rs
+++ b/crates/oleanderpost-serving/src/stream_task.rs
@@ -235,6 +235,7 @@
 
     fn note_error(&mut self, e: &AttemptError) {
         self.attempts.note(e.ran);
+        self.entry.metrics.attempt_failed(e);
         self.finder.exclude(e.upstream.clone());
         if e.ran == Ran::Gone {
             self.entry.state.directory().mark_leaving(&e.upstream);
@@ -250,9 +251,11 @@
 
     /// Answers with the head of the first engine, and passes on events in the background.
     fn answer(self, parts: &Parts, stream: OpenStream, first: NextEvent) -> Response<AnswerBody> {
-        self.entry
-            .metrics
-            .first_event(&self.call.route.name, self.call.age());
+        self.entry.metrics.first_event(
+            &self.call.route.name,
+            self.call.head.prompt_tokens,
+            self.call.age(),
+        );
         let (tx, rx) = mpsc::channel(EVENTS_AHEAD);
         tokio::spawn(self.relay(stream, first, tx));
         response(parts, AnswerBody::Parts(rx))
