Three import circles undone: lease and client, fields and reader, step model and messages

Change: Lease tells a LeaseOwner what becomes of it; Fields::read takes the place of Reader::fields; Ahead has a file of its own.

Ruled out here: type and builder pairs, FleetFile with Check (the type's own constructor), survey and shared in config (only names alike). Left: limits, groups, permit and shared in admission; six files of peers.

Tests of config, admission and serving: green.

--- a/crates/oleanderpost-admission/src/lib.rs
+++ b/crates/oleanderpost-admission/src/lib.rs
@@ -24,6 +24,7 @@
 
 mod admission;
 mod admission_request;
+mod ahead;
 mod background;
 mod backoff;
 mod band;
@@ -65,6 +66,7 @@
 pub use crate::{
     admission::Admission,
     admission_request::{AdmissionRequest, Fingerprint},
+    ahead::Ahead,
     backoff::Backoff,
     band::Band,
     breaker::Breaker,
@@ -78,7 +80,7 @@
     owner_client::OwnerClient,
     permit::Permit,
     permit_message::{
-        Ahead, Ask, AskGroup, Demand, EngineSummary, Grant, Lease, Leased, News, Notice, PermitKey,
+        Ask, AskGroup, Demand, EngineSummary, Grant, Lease, Leased, News, Notice, PermitKey,
         PermitMessage, Quote, Refused, Renewal, Report,
     },
     refusal::{Reason, Refusal},
--- a/crates/oleanderpost-admission/src/permit_message.rs
+++ b/crates/oleanderpost-admission/src/permit_message.rs
@@ -5,7 +5,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::{Band, Completion, Fingerprint, Reason, StepModel};
+use crate::{Ahead, Band, Completion, Fingerprint, Reason, StepModel};
 
 /// What nodes say to each other about admission.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -151,15 +151,6 @@
     pub model: StepModel,
 }
 
-/// Prefill that goes before a prompt.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Ahead {
-    /// Prompt tokens.
-    pub tokens: Tokens,
-    /// Pairs of tokens that attention must relate.
-    pub pairs: u64,
-}
-
 /// Permits in use and news of others, from an entry node to an owner.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
--- a/crates/oleanderpost-config/src/call_rule.rs
+++ b/crates/oleanderpost-config/src/call_rule.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{allowed, node::Node, place::Placed, reader::Reader};
+use crate::{allowed, fields::Fields, node::Node, place::Placed, reader::Reader};
 
 /// Rule for some calls of a plain service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -18,7 +18,7 @@
 
 impl CallRule {
     pub(crate) fn read(reader: &mut Reader, node: &Placed<Node>, path: &str) -> Option<Self> {
-        let fields = reader.fields(node, path, &["method", "path", "repeatable"])?;
+        let fields = Fields::read(reader, node, path, &["method", "path", "repeatable"])?;
         let method = fields.required(reader, "method").and_then(|node| {
             let words = allowed::METHODS.map(|method| (method, method));
             reader.word(node, &fields.path_of("method"), &words)
--- a/crates/oleanderpost-config/src/check.rs
+++ b/crates/oleanderpost-config/src/check.rs
@@ -137,7 +137,7 @@
             return None;
         }
     }
-    let fields = reader.fields(root, "", &FIELDS)?;
+    let fields = Fields::read(reader, root, "", &FIELDS)?;
     let format = fields.number_or(reader, "format", 1..=newest, 1);
     let generation = fields
         .required(reader, "generation")
--- a/crates/oleanderpost-config/src/client_account.rs
+++ b/crates/oleanderpost-config/src/client_account.rs
@@ -4,7 +4,7 @@
 
 use oleanderpost_types::{AccountName, Priority, RequestRate, ServiceName, TokenRate};
 
-use crate::{TokenHash, allowed, node::Node, place::Placed, reader::Reader};
+use crate::{TokenHash, allowed, fields::Fields, node::Node, place::Placed, reader::Reader};
 
 /// A client account.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -46,7 +46,7 @@
     ];
 
     pub(crate) fn read(reader: &mut Reader, node: &Placed<Node>, path: &str) -> Option<Self> {
-        let fields = reader.fields(node, path, &Self::FIELDS)?;
+        let fields = Fields::read(reader, node, path, &Self::FIELDS)?;
         let name = fields.required_name(reader, "name");
         let token = fields.required(reader, "token_sha256").and_then(|node| {
             reader.text(node, &fields.path_of("token_sha256"), allowed::TOKEN_HASH)
--- a/crates/oleanderpost-config/src/fields.rs
+++ b/crates/oleanderpost-config/src/fields.rs
@@ -18,16 +18,20 @@
 }
 
 impl<'a> Fields<'a> {
-    pub(crate) fn new(
+    /// Reads a mapping, and notes its unknown and doubled fields; `None` if the value is none.
+    pub(crate) fn read(
         reader: &mut Reader,
-        entries: &'a [(Placed<String>, Placed<Node>)],
-        at: Place,
+        node: &'a Placed<Node>,
         path: &str,
         known: &[&str],
-    ) -> Self {
+    ) -> Option<Self> {
+        let Node::Map(entries) = &node.value else {
+            reader.note_value(node, path, &format!("a mapping with {}", known.join(", ")));
+            return None;
+        };
         let fields = Self {
             entries,
-            at,
+            at: node.referenced,
             path: path.to_owned(),
         };
         for (key, _) in entries {
@@ -42,7 +46,7 @@
             (key.value.as_str(), key.referenced, path)
         });
         reader.unique("field", keys);
-        fields
+        Some(fields)
     }
 
     /// Path of a field within the file.
--- a/crates/oleanderpost-config/src/length_class.rs
+++ b/crates/oleanderpost-config/src/length_class.rs
@@ -4,7 +4,7 @@
 
 use oleanderpost_types::{ServiceName, Tokens};
 
-use crate::{allowed, node::Node, place::Placed, reader::Reader};
+use crate::{allowed, fields::Fields, node::Node, place::Placed, reader::Reader};
 
 /// A class of prompts by length.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -18,7 +18,7 @@
 
 impl LengthClass {
     pub(crate) fn read(reader: &mut Reader, node: &Placed<Node>, path: &str) -> Option<Self> {
-        let fields = reader.fields(node, path, &["name", "up_to"])?;
+        let fields = Fields::read(reader, node, path, &["name", "up_to"])?;
         let name = fields.required(reader, "name").and_then(|node| {
             let name: ServiceName = reader.text(node, &fields.path_of("name"), allowed::NAME)?;
             Some(name.to_string())
--- a/crates/oleanderpost-config/src/model_version.rs
+++ b/crates/oleanderpost-config/src/model_version.rs
@@ -4,7 +4,7 @@
 
 use oleanderpost_types::ModelName;
 
-use crate::{allowed, node::Node, place::Placed, reader::Reader};
+use crate::{allowed, fields::Fields, node::Node, place::Placed, reader::Reader};
 
 /// A model with its version and adapters.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -21,7 +21,7 @@
 
 impl ModelVersion {
     pub(crate) fn read(reader: &mut Reader, node: &Placed<Node>, path: &str) -> Option<Self> {
-        let fields = reader.fields(node, path, &["name", "version", "adapters"])?;
+        let fields = Fields::read(reader, node, path, &["name", "version", "adapters"])?;
         let name = fields
             .required(reader, "name")
             .and_then(|node| reader.text(node, &fields.path_of("name"), allowed::NAME));
--- a/crates/oleanderpost-config/src/reader.rs
+++ b/crates/oleanderpost-config/src/reader.rs
@@ -5,7 +5,6 @@
 use crate::{
     Finding, Findings,
     allowed::MAX_FINDINGS,
-    fields::Fields,
     node::Node,
     place::{Place, Placed},
 };
@@ -49,20 +48,6 @@
         self.note(node.referenced, field, message, allowed);
     }
 
-    /// A mapping, with its unknown and doubled fields noted.
-    pub(crate) fn fields<'a>(
-        &mut self,
-        node: &'a Placed<Node>,
-        path: &str,
-        known: &[&str],
-    ) -> Option<Fields<'a>> {
-        let Node::Map(entries) = &node.value else {
-            self.note_value(node, path, &format!("a mapping with {}", known.join(", ")));
-            return None;
-        };
-        Some(Fields::new(self, entries, node.referenced, path, known))
-    }
-
     /// A list.
     pub(crate) fn list<'a>(
         &mut self,
--- a/crates/oleanderpost-config/src/rollout.rs
+++ b/crates/oleanderpost-config/src/rollout.rs
@@ -4,7 +4,7 @@
 
 use oleanderpost_types::ServiceName;
 
-use crate::{ModelVersion, allowed, node::Node, place::Placed, reader::Reader};
+use crate::{ModelVersion, allowed, fields::Fields, node::Node, place::Placed, reader::Reader};
 
 /// A change of a service's model, engine after engine.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -20,7 +20,7 @@
 
 impl Rollout {
     pub(crate) fn read(reader: &mut Reader, node: &Placed<Node>, path: &str) -> Option<Self> {
-        let fields = reader.fields(node, path, &["service", "to", "percent"])?;
+        let fields = Fields::read(reader, node, path, &["service", "to", "percent"])?;
         let service = fields
             .required(reader, "service")
             .and_then(|node| reader.text(node, &fields.path_of("service"), allowed::NAME));
--- a/crates/oleanderpost-config/src/service.rs
+++ b/crates/oleanderpost-config/src/service.rs
@@ -60,7 +60,7 @@
     ];
 
     pub(crate) fn read(reader: &mut Reader, node: &Placed<Node>, path: &str) -> Option<Self> {
-        let fields = reader.fields(node, path, &Self::FIELDS)?;
+        let fields = Fields::read(reader, node, path, &Self::FIELDS)?;
         let name = fields.required_name(reader, "name");
         let kind = fields.required(reader, "kind").and_then(|node| {
             let words = [
--- a/crates/oleanderpost-config/src/upstream.rs
+++ b/crates/oleanderpost-config/src/upstream.rs
@@ -6,7 +6,7 @@
 
 use oleanderpost_types::{DataCentre, Tokens, UpstreamId, VmId};
 
-use crate::{allowed, node::Node, place::Placed, reader::Reader};
+use crate::{allowed, fields::Fields, node::Node, place::Placed, reader::Reader};
 
 /// One upstream of a service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -29,7 +29,7 @@
     const FIELDS: [&str; 5] = ["id", "vm", "address", "data_centre", "memory"];
 
     pub(crate) fn read(reader: &mut Reader, node: &Placed<Node>, path: &str) -> Option<Self> {
-        let fields = reader.fields(node, path, &Self::FIELDS)?;
+        let fields = Fields::read(reader, node, path, &Self::FIELDS)?;
         let id = fields.required_name(reader, "id");
         let vm = fields.required_name(reader, "vm");
         let address = fields
--- a/crates/oleanderpost-serving/src/lease.rs
+++ b/crates/oleanderpost-serving/src/lease.rs
@@ -2,11 +2,11 @@
 
 use std::sync::Arc;
 
-use crate::{Grant, SchedulerClient, ServiceName, WorkEnd, WorkId};
+use crate::{Grant, ServiceName, WorkEnd, WorkId, lease_owner::LeaseOwner};
 
 /// The right to run one request on an engine. Dropped, it counts as cancelled.
 pub struct Lease {
-    client: Arc<SchedulerClient>,
+    owner: Arc<dyn LeaseOwner>,
     service: ServiceName,
     id: WorkId,
     grant: Grant,
@@ -15,13 +15,13 @@
 
 impl Lease {
     pub(crate) fn new(
-        client: Arc<SchedulerClient>,
+        owner: Arc<dyn LeaseOwner>,
         service: ServiceName,
         id: WorkId,
         grant: Grant,
     ) -> Self {
         Self {
-            client,
+            owner,
             service,
             id,
             grant,
@@ -37,20 +37,20 @@
 
     /// Notes that the first event has come.
     pub fn note_first_event(&self) {
-        self.client.note_first_event(&self.service, self.id);
+        self.owner.note_first_event(&self.service, self.id);
     }
 
     /// Gives the place back.
     pub fn close(mut self, end: WorkEnd) {
         self.closed = true;
-        self.client.note_end(&self.service, self.id, end);
+        self.owner.note_end(&self.service, self.id, end);
     }
 }
 
 impl Drop for Lease {
     fn drop(&mut self) {
         if !self.closed {
-            self.client
+            self.owner
                 .note_end(&self.service, self.id, WorkEnd::Cancelled);
         }
     }
--- a/crates/oleanderpost-serving/src/lib.rs
+++ b/crates/oleanderpost-serving/src/lib.rs
@@ -51,6 +51,7 @@
 mod front;
 mod grant;
 mod lease;
+mod lease_owner;
 mod light_demand;
 mod log_budget;
 mod metrics;
--- a/crates/oleanderpost-serving/src/scheduler_client.rs
+++ b/crates/oleanderpost-serving/src/scheduler_client.rs
@@ -18,6 +18,7 @@
 use crate::{
     BootTime, Decision, DecisionSink, Grant, HeldWork, Lease, NodeState, PeerKnowledge, PeerLink,
     PeerState, SchedulerHost, SchedulerMessage, ServiceName, Work, WorkEnd, WorkId,
+    lease_owner::LeaseOwner,
 };
 
 /// Time for the answer to a question; the way between two data centres takes about a millisecond.
@@ -158,30 +159,6 @@
         }
     }
 
-    /// Notes the first event of a placement.
-    pub(crate) fn note_first_event(&self, service: &ServiceName, id: WorkId) {
-        if let Some(held) = self.lock().held.get_mut(&id) {
-            held.started = true;
-        }
-        self.tell(SchedulerMessage::FirstEvent {
-            service: service.clone(),
-            id,
-        });
-    }
-
-    /// Notes the end of a placement, or of the wait for one.
-    pub(crate) fn note_end(&self, service: &ServiceName, id: WorkId, end: WorkEnd) {
-        let mut state = self.lock();
-        state.held.remove(&id);
-        state.waiting.remove(&id);
-        drop(state);
-        self.tell(SchedulerMessage::Ended {
-            service: service.clone(),
-            id,
-            end,
-        });
-    }
-
     /// Takes a decision that a scheduler sent later.
     pub fn decided(&self, id: WorkId, decision: Decision) {
         let waiting = self.lock().waiting.remove(&id);
@@ -372,6 +349,30 @@
     }
 }
 
+impl LeaseOwner for SchedulerClient {
+    fn note_first_event(&self, service: &ServiceName, id: WorkId) {
+        if let Some(held) = self.lock().held.get_mut(&id) {
+            held.started = true;
+        }
+        self.tell(SchedulerMessage::FirstEvent {
+            service: service.clone(),
+            id,
+        });
+    }
+
+    fn note_end(&self, service: &ServiceName, id: WorkId, end: WorkEnd) {
+        let mut state = self.lock();
+        state.held.remove(&id);
+        state.waiting.remove(&id);
+        drop(state);
+        self.tell(SchedulerMessage::Ended {
+            service: service.clone(),
+            id,
+            end,
+        });
+    }
+}
+
 #[async_trait::async_trait]
 impl PeerKnowledge for SchedulerClient {
     async fn state(&self) -> Option<(BootTime, PeerState)> {
@@ -452,7 +453,7 @@
         state.held.insert(self.id, held);
         drop(state);
         Lease::new(
-            Arc::clone(&self.client),
+            Arc::clone(&self.client) as Arc<dyn LeaseOwner>,
             self.service.clone(),
             self.id,
             grant,
