Let nodes of large fleets follow a peer in place of the store

Change: from 24 nodes on, nodes that are not seeds get changes from the scheduler's node (AskChanges, ChangeLog) when a heartbeat shows a later revision. A followed seed asks the store each 400 ms; a node leaves it when its evidence is older than 1.6 s and asks the store itself. Grace for missing entries travels along.

--- /dev/null
+++ b/crates/oleanderpost-serving/src/change_log.rs
@@ -0,0 +1,70 @@
+//! [`ChangeLog`].
+
+use std::collections::VecDeque;
+
+use crate::{UpstreamChange, discovery_source::Revision};
+
+/// Maximum number of logged changes of upstreams: several times the entries of a large fleet.
+const MAX_CHANGES: usize = 4_096;
+
+/// Changes between two revisions of the store.
+#[derive(Debug)]
+struct Step {
+    from: Revision,
+    config_changed: bool,
+    upstreams: Vec<UpstreamChange>,
+}
+
+/// Latest changes that a node has applied, for peers that follow it in place of the store.
+#[derive(Debug, Default)]
+pub(crate) struct ChangeLog {
+    /// Revision from which on the log is complete; `None` before the first full state.
+    base: Option<Revision>,
+    steps: VecDeque<Step>,
+    changes: usize,
+}
+
+impl ChangeLog {
+    /// Records changes since `from`.
+    pub(crate) fn record(
+        &mut self,
+        from: Revision,
+        config_changed: bool,
+        upstreams: &[UpstreamChange],
+    ) {
+        self.changes += upstreams.len();
+        self.steps.push_back(Step {
+            from,
+            config_changed,
+            upstreams: upstreams.to_vec(),
+        });
+        while self.changes > MAX_CHANGES {
+            let Some(dropped) = self.steps.pop_front() else {
+                break;
+            };
+            self.changes -= dropped.upstreams.len();
+            self.base = self.steps.front().map(|step| step.from);
+        }
+    }
+
+    /// Starts the log anew with the full state at `revision`.
+    pub(crate) fn restart(&mut self, revision: Revision) {
+        *self = Self {
+            base: Some(revision),
+            ..Self::default()
+        };
+    }
+
+    /// Changes since `after`, and whether the configuration is among them; `None` if the log does not reach
+    /// back that far.
+    ///
+    /// May contain changes before `after`, in the order in which they were made; the last one of an entry counts.
+    pub(crate) fn since(&self, after: Revision) -> Option<(bool, Vec<UpstreamChange>)> {
+        self.base.filter(|base| *base <= after)?;
+        let start = self.steps.iter().rposition(|step| step.from <= after);
+        let steps = self.steps.range(start.unwrap_or(0)..);
+        let config_changed = steps.clone().any(|step| step.config_changed);
+        let upstreams = steps.flat_map(|step| step.upstreams.iter().cloned());
+        Some((config_changed, upstreams.collect()))
+    }
+}
--- a/crates/oleanderpost-serving/src/discovery.rs
+++ b/crates/oleanderpost-serving/src/discovery.rs
@@ -15,12 +15,21 @@
 
 /// How long a watch request waits for changes: about a third of the usual limit on the age of evidence.
 const WATCH_WAIT: Duration = Duration::from_millis(1_500);
+/// The same on a node that others follow. Evidence counts from the sending of a request, so it is twice as old when
+/// the next response arrives.
+const FOLLOWED_WATCH_WAIT: Duration = Duration::from_millis(400);
+/// Age of the evidence above which a node no longer follows a peer: two waits, a heartbeat interval and network
+/// delay. Together with [`PEER_CHECK_INTERVAL`] it must stay below the time in which upstreams drain.
+const FOLLOWED_EVIDENCE_MAX_AGE: Duration = Duration::from_millis(1_600);
 /// The same while a peer confirms that the state is current, so that only few nodes poll the store often.
 const CONFIRMED_WATCH_WAIT: Duration = Duration::from_secs(10);
 /// Age up to which evidence from a peer counts as a confirmation; spans several heartbeats.
 const PEER_CONFIRMATION_MAX_AGE: Duration = Duration::from_millis(1_600);
 /// Interval between checks that a peer still confirms the state.
 const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(400);
+/// Consecutive checks without a confirmation after which a node turns to the store. A single one may be due to a
+/// change that has not arrived here yet.
+const MAX_FAILED_CHECKS: u32 = 2;
 /// Age of the evidence above which a node polls the store itself, even if a peer confirms the state.
 const CONFIRMED_EVIDENCE_MAX_AGE: Duration = Duration::from_millis(2_600);
 /// Delay after a response with changes. Further changes often follow, and the next response then contains all
@@ -48,10 +57,11 @@
     changed: Arc<Notify>,
     last_revision: Option<Revision>,
     consecutive_failures: u32,
+    /// Consecutive failures that count as an outage: [`OUTAGE_FAILURES`], or one if this node did not read the store
+    /// itself before.
+    failures_of_outage: u32,
     /// Whether the next watch request must not wait for changes.
     poll_immediately: bool,
-    /// End of the grace period for entries that are missing since an outage of the store.
-    missing_grace_end: Option<BootTime>,
     peers: Option<Arc<dyn PeerStateSource>>,
     /// When the full state was last requested from a peer.
     last_peer_request: Option<BootTime>,
@@ -71,8 +81,8 @@
             changed,
             last_revision: None,
             consecutive_failures: 0,
+            failures_of_outage: OUTAGE_FAILURES,
             poll_immediately: false,
-            missing_grace_end: None,
             peers: None,
             last_peer_request: None,
         }
@@ -90,6 +100,7 @@
     /// Watches the store and applies its updates; never returns.
     pub async fn run(mut self) {
         loop {
+            self.follow_peer().await;
             let requested_at = BootTime::now();
             let result = self.fetch_update().await;
             self.poll_immediately = false;
@@ -123,6 +134,74 @@
         }
     }
 
+    /// Applies the changes that a peer passes on, for as long as its evidence is recent; returns at once if this
+    /// node should read the store itself.
+    ///
+    /// In a large fleet only the seeds read the store, so that its load does not grow with the fleet.
+    async fn follow_peer(&mut self) {
+        let mut following = false;
+        let mut failed_checks = 0;
+        while self.may_follow() {
+            let followed = match self.state.recent_peer_evidence(PEER_CONFIRMATION_MAX_AGE) {
+                Some(evidence) if self.state.is_behind(evidence) => self.apply_peer_changes().await,
+                Some(_) => true,
+                None => false,
+            };
+            failed_checks = if followed { 0 } else { failed_checks + 1 };
+            let is_recent = self
+                .state
+                .evidence_age()
+                .is_some_and(|age| age <= FOLLOWED_EVIDENCE_MAX_AGE);
+            if !is_recent || failed_checks == MAX_FAILED_CHECKS || (failed_checks > 0 && !following)
+            {
+                break;
+            }
+            if !following {
+                following = true;
+                spdlog::info!("following a peer in place of the store", kv: { revision = self.state.revision() });
+            }
+            self.remove_expired_upstreams();
+            // Evidence arrives with each heartbeat.
+            let _ = timeout(PEER_CHECK_INTERVAL, self.state.peer_evidence_recorded()).await;
+        }
+        if following {
+            self.failures_of_outage = 1;
+            self.poll_immediately = true;
+            spdlog::info!("no longer following a peer; polling the store", kv: { revision = self.state.revision() });
+        }
+    }
+
+    fn may_follow(&self) -> bool {
+        let has_state = self.last_revision.is_some() && self.state.config().is_some();
+        has_state && self.peers.as_ref().is_some_and(|peers| peers.may_follow())
+    }
+
+    /// Fetches the changes that a peer has seen and this node has not; returns whether it has them now.
+    async fn apply_peer_changes(&mut self) -> bool {
+        let (Some(peers), Some(after)) = (&self.peers, self.last_revision) else {
+            return false;
+        };
+        let Some((requested_at, changes)) = peers.fetch_changes(after).await else {
+            return false;
+        };
+        let evidence = changes.evidence;
+        if evidence.revision < after {
+            return false;
+        }
+        if changes.missing_grace_ms > 0 {
+            let grace = Duration::from_millis(changes.missing_grace_ms);
+            self.state
+                .extend_missing_grace(BootTime::now().after(grace));
+        }
+        let update = DiscoveryUpdate {
+            revision: evidence.revision,
+            config: changes.config,
+            upstreams: changes.upstreams,
+        };
+        self.apply_update(update, false);
+        self.state.record_peer_evidence(requested_at, evidence)
+    }
+
     /// Requests changes, or the full state if no revision is known. The flag is `true` for the full state.
     async fn fetch_update(&self) -> Result<(DiscoveryUpdate, bool), DiscoveryError> {
         let timed_out = |step| {
@@ -163,10 +242,12 @@
     /// How long the next watch request waits for changes; not beyond the grace period of missing entries.
     fn watch_wait(&self) -> Duration {
         let now = BootTime::now();
-        let grace_end = self.missing_grace_end.filter(|end| *end > now);
-        match grace_end {
+        match self.state.missing_grace_end() {
             Some(end) => end.since(now).min(WATCH_WAIT),
             None if self.is_confirmed_by_peer() => CONFIRMED_WATCH_WAIT,
+            None if self.peers.as_ref().is_some_and(|peers| peers.is_followed()) => {
+                FOLLOWED_WATCH_WAIT
+            }
             None => WATCH_WAIT,
         }
     }
@@ -181,11 +262,10 @@
         is_recent && evidence.is_some_and(|evidence| !self.state.is_behind(evidence))
     }
 
-    /// Completes when two consecutive checks find no confirmation by a peer. A single failed check may be due
-    /// to a change that has not arrived here yet.
+    /// Completes when [`MAX_FAILED_CHECKS`] consecutive checks find no confirmation by a peer.
     async fn peer_confirmation_lost(&self) {
         let mut failed_checks = 0;
-        while failed_checks < 2 {
+        while failed_checks < MAX_FAILED_CHECKS {
             sleep(PEER_CHECK_INTERVAL).await;
             failed_checks = if self.is_confirmed_by_peer() {
                 0
@@ -250,16 +330,29 @@
 
     /// Starts the grace period for missing entries when the store responds again after an outage.
     fn detect_store_recovery(&mut self, requested_at: BootTime, succeeded: bool) {
-        let was_unavailable = self.consecutive_failures >= OUTAGE_FAILURES;
+        let was_unavailable = self.consecutive_failures >= self.failures_of_outage;
+        if succeeded {
+            self.failures_of_outage = OUTAGE_FAILURES;
+        }
         if succeeded && was_unavailable {
-            self.missing_grace_end = Some(requested_at.after(MISSING_ENTRY_GRACE));
+            self.state
+                .extend_missing_grace(requested_at.after(MISSING_ENTRY_GRACE));
             spdlog::info!("discovery store available again", kv: { failures = self.consecutive_failures });
         }
     }
 
     fn apply_update(&mut self, update: DiscoveryUpdate, is_snapshot: bool) {
-        let now = BootTime::now();
-        let grace_end = self.missing_grace_end.filter(|end| *end > now);
+        let grace_end = self.state.missing_grace_end();
+        let config_changed = update.config.is_some();
+        match self.last_revision {
+            Some(from) if !is_snapshot => {
+                if config_changed || !update.upstreams.is_empty() {
+                    let mut log = self.state.change_log();
+                    log.record(from, config_changed, &update.upstreams);
+                }
+            }
+            _ => self.state.change_log().restart(update.revision),
+        }
         let mut changed = update
             .config
             .is_some_and(|config| self.state.apply_config(config));
--- a/crates/oleanderpost-serving/src/discovery_source.rs
+++ b/crates/oleanderpost-serving/src/discovery_source.rs
@@ -2,13 +2,15 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::{ServingConfig, Upstream, UpstreamId};
 
 /// Position in the change history of the store.
 pub type Revision = u64;
 
 /// Change of the entry of one upstream.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum UpstreamChange {
     /// The entry was added or updated.
     Put(Upstream),
--- a/crates/oleanderpost-serving/src/lib.rs
+++ b/crates/oleanderpost-serving/src/lib.rs
@@ -31,6 +31,7 @@
 mod caller_limits;
 mod caller_server;
 mod candidate;
+mod change_log;
 mod decision;
 mod discovery;
 mod discovery_source;
@@ -58,6 +59,7 @@
 mod node_gauges;
 mod node_name;
 mod node_state;
+mod peer_changes;
 mod peer_evidence;
 mod peer_link;
 mod peer_state;
@@ -126,6 +128,7 @@
     node::{Node, PlatformParts},
     node_name::node_name,
     node_state::NodeState,
+    peer_changes::PeerChanges,
     peer_evidence::PeerEvidence,
     peer_link::PeerLink,
     peer_state::PeerState,
--- a/crates/oleanderpost-serving/src/node.rs
+++ b/crates/oleanderpost-serving/src/node.rs
@@ -232,6 +232,10 @@
             let state = self.state.state_for_peers().map(Box::new);
             return Some(SchedulerMessage::State { state });
         }
+        if let SchedulerMessage::AskChanges { after } = msg {
+            let changes = self.state.changes_for_peers(after).map(Box::new);
+            return Some(SchedulerMessage::Changes { changes });
+        }
         let mut reply = self.scheduler_host.handle(from, msg, false);
         if let Some(SchedulerMessage::HeartbeatReply { evidence, .. }) = &mut reply {
             *evidence = self.state.evidence_for_peers();
--- a/crates/oleanderpost-serving/src/node_state.rs
+++ b/crates/oleanderpost-serving/src/node_state.rs
@@ -12,8 +12,8 @@
 use tokio::sync::Notify;
 
 use crate::{
-    BootTime, Drain, Evidence, PeerEvidence, PeerState, ServiceName, ServingConfig, Upstream,
-    UpstreamDirectory, UpstreamId,
+    BootTime, Drain, Evidence, PeerChanges, PeerEvidence, PeerState, Revision, ServiceName,
+    ServingConfig, Upstream, UpstreamDirectory, UpstreamId, change_log::ChangeLog,
 };
 
 /// State of a node: the applied configuration, the upstreams, and the evidence that both are current.
@@ -27,8 +27,13 @@
     revision: AtomicU64,
     /// Latest evidence from a peer, and when it was requested.
     latest_peer_evidence: Mutex<Option<(BootTime, PeerEvidence)>>,
+    /// Notifies the task that follows a peer of new evidence.
+    peer_evidence_recorded: Notify,
     /// Notifies tasks that wait for the first configuration.
     config_applied: Notify,
+    change_log: Mutex<ChangeLog>,
+    /// End of the grace period for entries that are missing since an outage of the store.
+    missing_grace_end: Mutex<Option<BootTime>>,
 }
 
 impl NodeState {
@@ -44,7 +49,10 @@
             drain: OnceLock::new(),
             revision: AtomicU64::new(0),
             latest_peer_evidence: Mutex::default(),
+            peer_evidence_recorded: Notify::new(),
             config_applied: Notify::new(),
+            change_log: Mutex::default(),
+            missing_grace_end: Mutex::default(),
         }
     }
 
@@ -137,6 +145,7 @@
             .latest_peer_evidence
             .lock()
             .unwrap_or_else(PoisonError::into_inner) = Some((requested_at, evidence));
+        self.peer_evidence_recorded.notify_one();
         let own_version = self.config().map_or(0, |config| config.version());
         if own_version < evidence.version {
             return false;
@@ -145,6 +154,54 @@
         true
     }
 
+    /// Waits until evidence of a peer is recorded.
+    pub(crate) async fn peer_evidence_recorded(&self) {
+        self.peer_evidence_recorded.notified().await;
+    }
+
+    /// Locks the log of applied changes.
+    pub(crate) fn change_log(&self) -> MutexGuard<'_, ChangeLog> {
+        self.change_log
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// End of the grace period for entries that are missing since an outage of the store, if it lasts.
+    pub(crate) fn missing_grace_end(&self) -> Option<BootTime> {
+        let end = *self
+            .missing_grace_end
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        end.filter(|end| *end > BootTime::now())
+    }
+
+    /// Extends that grace period.
+    pub(crate) fn extend_missing_grace(&self, end: BootTime) {
+        let mut current = self
+            .missing_grace_end
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *current = current.max(Some(end));
+    }
+
+    /// Changes since `after` to send to peers; `None` if not all of them are known.
+    #[must_use]
+    pub fn changes_for_peers(&self, after: Revision) -> Option<PeerChanges> {
+        let evidence = self.evidence_for_peers()?;
+        let (config_changed, upstreams) = self.change_log().since(after)?;
+        let config = self.config().filter(|_| config_changed);
+        let now = BootTime::now();
+        let grace = self
+            .missing_grace_end()
+            .map_or(Duration::ZERO, |end| end.since(now));
+        Some(PeerChanges {
+            evidence,
+            config: config.map(|config| ServingConfig::clone(&config)),
+            upstreams,
+            missing_grace_ms: u64::try_from(grace.as_millis()).unwrap_or(u64::MAX),
+        })
+    }
+
     /// Latest evidence of a peer, if it was requested within `max_age`.
     #[must_use]
     pub fn recent_peer_evidence(&self, max_age: Duration) -> Option<PeerEvidence> {
--- /dev/null
+++ b/crates/oleanderpost-serving/src/peer_changes.rs
@@ -0,0 +1,18 @@
+//! [`PeerChanges`].
+
+use serde::{Deserialize, Serialize};
+
+use crate::{PeerEvidence, ServingConfig, UpstreamChange};
+
+/// Changes since a revision, sent to a peer that follows this node in place of the store.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PeerChanges {
+    /// Evidence of how current the state is with these changes applied.
+    pub evidence: PeerEvidence,
+    /// Applied configuration, if it has changed.
+    pub config: Option<ServingConfig>,
+    /// Changes of upstreams, in order.
+    pub upstreams: Vec<UpstreamChange>,
+    /// Remaining time for which missing upstreams are kept after an outage of the store, in milliseconds.
+    pub missing_grace_ms: u64,
+}
--- a/crates/oleanderpost-serving/src/peer_state_source.rs
+++ b/crates/oleanderpost-serving/src/peer_state_source.rs
@@ -1,10 +1,21 @@
 //! [`PeerStateSource`].
 
-use crate::{BootTime, PeerState};
+use crate::{BootTime, PeerChanges, PeerState, discovery_source::Revision};
 
 /// Peers whose state this node can copy while the discovery store does not respond to it.
 #[async_trait::async_trait]
 pub trait PeerStateSource: Send + Sync {
     /// Requests the state of a peer. Returns it with the time of the request, or `None` if no peer responds.
     async fn fetch_state(&self) -> Option<(BootTime, PeerState)>;
+
+    /// Requests the changes since `after` from the peer whose evidence this node receives. Returns them with
+    /// the time of the request, or `None` if the peer does not have them.
+    async fn fetch_changes(&self, after: Revision) -> Option<(BootTime, PeerChanges)>;
+
+    /// Whether this node should follow a peer in place of the store: the fleet is large, and other nodes read
+    /// the store.
+    fn may_follow(&self) -> bool;
+
+    /// Whether other nodes may follow this one.
+    fn is_followed(&self) -> bool;
 }
--- a/crates/oleanderpost-serving/src/scheduler_client.rs
+++ b/crates/oleanderpost-serving/src/scheduler_client.rs
@@ -16,9 +16,9 @@
 };
 
 use crate::{
-    BootTime, Decision, DecisionSink, Grant, HeldWork, Lease, NodeState, PeerLink, PeerState,
-    PeerStateSource, SchedulerHost, SchedulerMessage, ServiceName, Work, WorkEnd, WorkId,
-    lease_owner::LeaseOwner,
+    BootTime, Decision, DecisionSink, Grant, HeldWork, Lease, NodeState, PeerChanges, PeerLink,
+    PeerState, PeerStateSource, SchedulerHost, SchedulerMessage, ServiceName, Work, WorkEnd,
+    WorkId, discovery_source::Revision, lease_owner::LeaseOwner,
 };
 
 /// Timeout for the reply to a submitted request. The latency between two data centres is about one
@@ -30,6 +30,8 @@
 const STATE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Interval between heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// Number of nodes from which on only the seeds read the discovery store all the time.
+const FOLLOWING_MIN_NODES: usize = 24;
 /// Time for which a scheduler that did not reply is skipped.
 const SKIP_TIME: Duration = Duration::from_millis(700);
 
@@ -251,6 +253,11 @@
         schedulers
     }
 
+    fn is_seed(&self) -> bool {
+        let seeds = self.seeds.lock().unwrap_or_else(PoisonError::into_inner);
+        seeds.contains(&self.own_id)
+    }
+
     fn skip_scheduler(&self, seed: &VmId) {
         if *seed == self.own_id {
             return;
@@ -403,6 +410,26 @@
         }
         None
     }
+
+    async fn fetch_changes(&self, after: Revision) -> Option<(BootTime, PeerChanges)> {
+        let leader = self.leader();
+        let sent_at = BootTime::now();
+        let msg = SchedulerMessage::AskChanges { after };
+        match self.exchange(&leader, msg, STATE_TIMEOUT).await {
+            Some(SchedulerMessage::Changes {
+                changes: Some(changes),
+            }) => Some((sent_at, *changes)),
+            _ => None,
+        }
+    }
+
+    fn may_follow(&self) -> bool {
+        self.nodes() >= FOLLOWING_MIN_NODES && !self.is_seed()
+    }
+
+    fn is_followed(&self) -> bool {
+        self.nodes() >= FOLLOWING_MIN_NODES && self.is_seed()
+    }
 }
 
 /// Delivers decisions of the local scheduler host: directly to this node, over links to other nodes.
--- a/crates/oleanderpost-serving/src/scheduler_host.rs
+++ b/crates/oleanderpost-serving/src/scheduler_host.rs
@@ -171,6 +171,8 @@
             SchedulerMessage::Decided { .. }
             | SchedulerMessage::NotServing
             | SchedulerMessage::HeartbeatReply { .. }
+            | SchedulerMessage::AskChanges { .. }
+            | SchedulerMessage::Changes { .. }
             | SchedulerMessage::AskState
             | SchedulerMessage::State { .. } => None,
         }
--- a/crates/oleanderpost-serving/src/scheduler_message.rs
+++ b/crates/oleanderpost-serving/src/scheduler_message.rs
@@ -3,7 +3,9 @@
 use oleanderpost_peers::MessageKind;
 use serde::{Deserialize, Serialize};
 
-use crate::{Decision, PeerEvidence, PeerState, ServiceName, UpstreamId, Work, WorkEnd, WorkId};
+use crate::{
+    Decision, PeerChanges, PeerEvidence, PeerState, ServiceName, UpstreamId, Work, WorkEnd, WorkId,
+};
 
 /// A placement as recorded by its node.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -76,6 +78,16 @@
         /// The placements.
         held: Vec<HeldWork>,
     },
+    /// Requests the changes since a revision from the peer that the sender follows.
+    AskChanges {
+        /// Revision up to which the sender has applied changes.
+        after: u64,
+    },
+    /// Reply to [`AskChanges`](Self::AskChanges).
+    Changes {
+        /// The changes; `None` if the peer does not have all of them.
+        changes: Option<Box<PeerChanges>>,
+    },
     /// Requests a peer's full state, because the store does not respond.
     AskState,
     /// Reply to [`AskState`](Self::AskState).
@@ -96,6 +108,8 @@
             Self::Heartbeat { .. } => "attend",
             Self::HeartbeatReply { .. } => "attended",
             Self::Adopt { .. } => "adopt",
+            Self::AskChanges { .. } => "ask_changes",
+            Self::Changes { .. } => "changes",
             Self::AskState => "ask_state",
             Self::State { .. } => "state",
         }
--- /dev/null
+++ b/crates/oleanderpost-serving/tests/following.rs
@@ -0,0 +1,317 @@
+//! Nodes of a large fleet that follow a peer in place of the discovery store.
+
+use std::{
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use oleanderpost_serving::{
+    BootTime, DataCentreName, Discovery, DiscoveryError, DiscoverySource, DiscoveryUpdate,
+    NodeState, PeerChanges, PeerState, PeerStateSource, Revision, ServiceName, ServingConfig,
+    Upstream, UpstreamChange, UpstreamId,
+};
+use tokio::{
+    sync::Notify,
+    time::{Instant, sleep},
+};
+
+const MAX_EVIDENCE_AGE: Duration = Duration::from_secs(5);
+/// Interval between the heartbeats of a node.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// Time within which a change at the peer must arrive: a quarter of the shortest time that the users allow.
+const ARRIVAL_TIME: Duration = Duration::from_secs(1);
+
+fn upstream(id: &str, draining: bool) -> Upstream {
+    Upstream {
+        id: UpstreamId::new(id),
+        service: ServiceName::new("a"),
+        address: "127.0.0.1:1".parse().unwrap(),
+        data_centre: DataCentreName::new("dc-a"),
+        slots: 1,
+        draining,
+        started_at: None,
+    }
+}
+
+/// Time within which a node must know a change if its peer has lost the store: the shortest time in which an
+/// upstream of a large fleet may still receive requests after it announced its shutdown, less half a second.
+const LOST_STORE_ARRIVAL_TIME: Duration = Duration::from_millis(2_500);
+
+/// A store that answers with the changes of a list.
+#[derive(Default)]
+struct ListedStore {
+    changes: Mutex<Vec<(Revision, UpstreamChange)>>,
+    config_version: AtomicU64,
+    changed: Notify,
+    requests: AtomicU64,
+    unresponsive: AtomicBool,
+}
+
+impl ListedStore {
+    fn new() -> Arc<Self> {
+        let store = Self::default();
+        store.config_version.store(7, Ordering::Relaxed);
+        let store = Arc::new(store);
+        store.change(UpstreamChange::Put(upstream("u", false)));
+        store.change(UpstreamChange::Put(upstream("v", false)));
+        store
+    }
+
+    fn change(&self, change: UpstreamChange) {
+        let mut changes = self.changes.lock().unwrap();
+        let revision = changes.len() as Revision + 1;
+        changes.push((revision, change));
+        self.changed.notify_waiters();
+    }
+
+    fn since(&self, after: Revision) -> DiscoveryUpdate {
+        let changes = self.changes.lock().unwrap();
+        let upstreams = changes.iter().filter(|(revision, _)| *revision > after);
+        DiscoveryUpdate {
+            revision: changes.len() as Revision,
+            config: Some(ServingConfig::new(
+                self.config_version.load(Ordering::Relaxed),
+            )),
+            upstreams: upstreams.map(|(_, change)| change.clone()).collect(),
+        }
+    }
+}
+
+#[async_trait::async_trait]
+impl DiscoverySource for ListedStore {
+    async fn snapshot(&self) -> Result<DiscoveryUpdate, DiscoveryError> {
+        self.requests.fetch_add(1, Ordering::Relaxed);
+        Ok(self.since(0))
+    }
+
+    async fn changes(
+        &self,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<DiscoveryUpdate, DiscoveryError> {
+        self.requests.fetch_add(1, Ordering::Relaxed);
+        if self.since(after).upstreams.is_empty() {
+            let _ = tokio::time::timeout(wait, self.changed.notified()).await;
+        }
+        if self.unresponsive.load(Ordering::Relaxed) {
+            std::future::pending::<()>().await;
+        }
+        Ok(self.since(after))
+    }
+}
+
+/// Another node, reached without a network.
+struct Peer {
+    state: Arc<NodeState>,
+    silent: AtomicBool,
+}
+
+#[async_trait::async_trait]
+impl PeerStateSource for Peer {
+    async fn fetch_state(&self) -> Option<(BootTime, PeerState)> {
+        None
+    }
+
+    async fn fetch_changes(&self, after: Revision) -> Option<(BootTime, PeerChanges)> {
+        let changes = self.state.changes_for_peers(after)?;
+        (!self.silent.load(Ordering::Relaxed)).then_some((BootTime::now(), changes))
+    }
+
+    fn may_follow(&self) -> bool {
+        true
+    }
+
+    fn is_followed(&self) -> bool {
+        false
+    }
+}
+
+/// What the peer knows of other nodes.
+struct Followers;
+
+#[async_trait::async_trait]
+impl PeerStateSource for Followers {
+    async fn fetch_state(&self) -> Option<(BootTime, PeerState)> {
+        None
+    }
+
+    async fn fetch_changes(&self, _after: Revision) -> Option<(BootTime, PeerChanges)> {
+        None
+    }
+
+    fn may_follow(&self) -> bool {
+        false
+    }
+
+    fn is_followed(&self) -> bool {
+        true
+    }
+}
+
+struct Pair {
+    peer_store: Arc<ListedStore>,
+    own_store: Arc<ListedStore>,
+    peer: Arc<Peer>,
+    state: Arc<NodeState>,
+}
+
+impl Pair {
+    /// Starts a node that reads the store, and one that may follow it. Each counts its own requests.
+    async fn start() -> Self {
+        let (peer_store, own_store) = (ListedStore::new(), ListedStore::new());
+        let peer_state = Arc::new(NodeState::new(MAX_EVIDENCE_AGE));
+        let state = Arc::new(NodeState::new(MAX_EVIDENCE_AGE));
+        let peer = Arc::new(Peer {
+            state: Arc::clone(&peer_state),
+            silent: AtomicBool::new(false),
+        });
+        let source = Arc::clone(&peer_store) as Arc<dyn DiscoverySource>;
+        let discovery = Discovery::new(source, Arc::clone(&peer_state), Arc::new(Notify::new()))
+            .with_peers(Arc::new(Followers));
+        tokio::spawn(discovery.run());
+        sleep(Duration::from_millis(50)).await;
+        let source = Arc::clone(&own_store) as Arc<dyn DiscoverySource>;
+        let discovery = Discovery::new(source, Arc::clone(&state), Arc::new(Notify::new()))
+            .with_peers(Arc::clone(&peer) as Arc<dyn PeerStateSource>);
+        tokio::spawn(discovery.run());
+        let pair = Self {
+            peer_store,
+            own_store,
+            peer,
+            state,
+        };
+        pair.spawn_heartbeats();
+        sleep(Duration::from_secs(2)).await;
+        pair
+    }
+
+    fn spawn_heartbeats(&self) {
+        let (peer, state) = (Arc::clone(&self.peer), Arc::clone(&self.state));
+        tokio::spawn(async move {
+            loop {
+                if !peer.silent.load(Ordering::Relaxed)
+                    && let Some(evidence) = peer.state.evidence_for_peers()
+                {
+                    state.record_peer_evidence(BootTime::now(), evidence);
+                }
+                sleep(HEARTBEAT_INTERVAL).await;
+            }
+        });
+    }
+
+    fn change_both(&self, change: &UpstreamChange) {
+        self.peer_store.change(change.clone());
+        self.own_store.change(change.clone());
+    }
+
+    fn is_usable(&self, id: &str) -> bool {
+        self.state.directory().is_usable(&UpstreamId::new(id))
+    }
+
+    fn own_requests(&self) -> u64 {
+        self.own_store.requests.load(Ordering::Relaxed)
+    }
+}
+
+async fn wait_until(limit: Duration, what: &str, condition: impl Fn() -> bool) {
+    let started_at = Instant::now();
+    while !condition() {
+        assert!(started_at.elapsed() < limit, "{what}");
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+#[tokio::test]
+async fn changes_arrive_from_a_peer_without_requests_to_the_store() {
+    let pair = Pair::start().await;
+    // The first change ends the watch request that was sent before the peer was known.
+    pair.change_both(&UpstreamChange::Put(upstream("w", false)));
+    wait_until(ARRIVAL_TIME, "added", || pair.is_usable("w")).await;
+    sleep(ARRIVAL_TIME).await;
+    let before = pair.own_requests();
+    pair.change_both(&UpstreamChange::Put(upstream("u", true)));
+    wait_until(ARRIVAL_TIME, "draining", || !pair.is_usable("u")).await;
+    pair.change_both(&UpstreamChange::Removed(UpstreamId::new("v")));
+    wait_until(ARRIVAL_TIME, "removed", || !pair.is_usable("v")).await;
+    pair.peer_store.config_version.store(9, Ordering::Relaxed);
+    pair.change_both(&UpstreamChange::Put(upstream("x", false)));
+    let version = || pair.state.config().map(|config| config.version());
+    wait_until(ARRIVAL_TIME, "configuration", || version() == Some(9)).await;
+    sleep(Duration::from_secs(3)).await;
+    assert!(pair.state.is_fresh());
+    assert_eq!(pair.own_requests(), before);
+}
+
+#[tokio::test]
+async fn node_turns_to_the_store_when_its_peer_falls_silent() {
+    let pair = Pair::start().await;
+    pair.change_both(&UpstreamChange::Put(upstream("w", false)));
+    sleep(ARRIVAL_TIME).await;
+    pair.peer.silent.store(true, Ordering::Relaxed);
+    pair.own_store
+        .change(UpstreamChange::Put(upstream("u", true)));
+    wait_until(MAX_EVIDENCE_AGE, "draining", || !pair.is_usable("u")).await;
+    sleep(MAX_EVIDENCE_AGE).await;
+    assert!(pair.state.is_fresh());
+}
+
+/// Guards against a fault found in a hunt (turned-away.toml, seed 301084693964): a request reached an upstream
+/// 3.3 s after the announcement of its shutdown, as the followed peer had been turned away by the store.
+#[tokio::test]
+async fn node_leaves_a_peer_that_has_lost_the_store_in_time_for_a_drain() {
+    let pair = Pair::start().await;
+    pair.change_both(&UpstreamChange::Put(upstream("w", false)));
+    sleep(ARRIVAL_TIME).await;
+    // The evidence is youngest if a change ends a watch request right after it was sent.
+    let requests = || pair.peer_store.requests.load(Ordering::Relaxed);
+    let before = requests();
+    wait_until(ARRIVAL_TIME * 2, "request", || requests() > before).await;
+    pair.change_both(&UpstreamChange::Put(upstream("x", false)));
+    let at_peer = || pair.peer.state.usable_upstream(&UpstreamId::new("x"));
+    wait_until(ARRIVAL_TIME, "added", || at_peer().is_some()).await;
+    pair.peer_store.unresponsive.store(true, Ordering::Relaxed);
+    pair.own_store
+        .change(UpstreamChange::Put(upstream("u", true)));
+    let limit = LOST_STORE_ARRIVAL_TIME;
+    wait_until(limit, "draining", || !pair.is_usable("u")).await;
+}
+
+/// Guards against a fault found on the same day: a node that had left its peer kept removed entries for two seconds
+/// although the store had been available.
+#[tokio::test]
+async fn entry_removed_while_a_peer_is_silent_is_dropped_with_the_first_response() {
+    let pair = Pair::start().await;
+    pair.change_both(&UpstreamChange::Put(upstream("w", false)));
+    sleep(ARRIVAL_TIME).await;
+    pair.peer.silent.store(true, Ordering::Relaxed);
+    pair.own_store
+        .change(UpstreamChange::Removed(UpstreamId::new("u")));
+    let limit = LOST_STORE_ARRIVAL_TIME;
+    wait_until(limit, "removed", || !pair.is_usable("u")).await;
+}
+
+#[tokio::test]
+async fn node_that_a_peer_can_not_bring_up_to_date_turns_to_the_store() {
+    let pair = Pair::start().await;
+    pair.change_both(&UpstreamChange::Put(upstream("w", false)));
+    sleep(ARRIVAL_TIME).await;
+    let evidence = pair.peer.state.evidence_for_peers().unwrap();
+    assert!(pair.peer.state.changes_for_peers(0).is_none());
+    assert!(
+        pair.peer
+            .state
+            .changes_for_peers(evidence.revision)
+            .is_some()
+    );
+    // The node is further than its peer: what the peer has must not replace it.
+    pair.own_store
+        .change(UpstreamChange::Put(upstream("u", true)));
+    pair.peer.silent.store(true, Ordering::Relaxed);
+    wait_until(MAX_EVIDENCE_AGE, "draining", || !pair.is_usable("u")).await;
+    pair.peer.silent.store(false, Ordering::Relaxed);
+    sleep(ARRIVAL_TIME * 2).await;
+    assert!(!pair.is_usable("u"));
+}
