--- a/crates/oleanderpost-serving/tests/scheduler.rs
+++ b/crates/oleanderpost-serving/tests/scheduler.rs
@@ -103,6 +103,43 @@
     assert!(grant.reserve_tokens.unwrap() * engines as f64 >= 500_000.0);
 }
 
+/// Engines that only read parts of a prompt are free once the first event has arrived; those that hold parts are not.
+#[test]
+fn engines_that_only_read_are_free_after_the_first_event() {
+    let names = ["a", "b", "c", "d", "e", "f"];
+    let mut scheduler = scheduler(&names);
+    let grant = granted(scheduler.submit(0.0, &node(), long_request(1, 350_000.0)));
+    let idle = |scheduler: &Scheduler| {
+        let idle = scheduler.engines().filter(|(_, load)| load.is_empty());
+        idle.count()
+    };
+    assert_eq!(grant.helpers.len() + 1, 2, "{grant:?}");
+    assert!(grant.first_event_ms <= 3_000.0, "{grant:?}");
+    assert_eq!(idle(&scheduler), names.len() - grant.size());
+    scheduler.note_first_event(2_500.0, WorkId(1, 1));
+    assert_eq!(idle(&scheduler), names.len() - 2);
+    scheduler.note_end(4_000.0, WorkId(1, 1), WorkEnd::Finished);
+    assert_eq!(idle(&scheduler), names.len());
+}
+
+/// Guards against a fault found in bursts on large fleets: prompts that need several engines waited until as many
+/// were idle at once, while each idle engine went to a prompt that needs only one.
+#[test]
+fn engines_that_decode_read_parts_of_a_prompt() {
+    let mut scheduler = scheduler(&["a", "b", "c", "d", "e", "f"]);
+    for id in 1..=5 {
+        granted(scheduler.submit(0.0, &node(), long_request(id, 120_000.0)));
+    }
+    for id in 1..=5 {
+        scheduler.note_first_event(1_800.0, WorkId(1, id));
+    }
+    let idle = scheduler.engines().filter(|(_, load)| load.is_empty());
+    assert_eq!(idle.count(), 1);
+    let grant = granted(scheduler.submit(1_900.0, &node(), long_request(9, 200_000.0)));
+    assert!(grant.size() > 1, "{grant:?}");
+    assert!(grant.first_event_ms <= 3_000.0, "{grant:?}");
+}
+
 #[test]
 fn request_that_cannot_meet_its_deadline_is_refused_at_once() {
     let mut scheduler = scheduler(&["a"]);
