Read configurations and mass changes from the store, not from the followed peer

A configuration of 1,400 routes for 195 nodes would fill a link of 20 Mbit/s for seconds.

Change: a peer sends at most 128 changes of upstreams, and no configuration; nodes that need more ask the store once and follow again.

--- a/crates/oleanderpost-serving/src/change_log.rs
+++ b/crates/oleanderpost-serving/src/change_log.rs
@@ -7,6 +7,10 @@
 /// Maximum number of logged changes of upstreams: several times the entries of a large fleet.
 const MAX_CHANGES: usize = 4_096;
 
+/// Maximum number of changes sent to a peer. One node sends them to all others, so more of them, and whole
+/// configurations, would fill the link of a small VM; the store sends them to each node by itself.
+const MAX_SENT_CHANGES: usize = 128;
+
 /// Changes between two revisions of the store.
 #[derive(Debug)]
 struct Step {
@@ -55,16 +59,19 @@
         };
     }
 
-    /// Changes since `after`, and whether the configuration is among them; `None` if the log does not reach
-    /// back that far.
+    /// Changes of upstreams since `after`; `None` if the log does not reach back that far, or if they are to be read
+    /// from the store: configurations, and more than [`MAX_SENT_CHANGES`].
     ///
     /// May contain changes before `after`, in the order in which they were made; the last one of an entry counts.
-    pub(crate) fn since(&self, after: Revision) -> Option<(bool, Vec<UpstreamChange>)> {
+    pub(crate) fn since(&self, after: Revision) -> Option<Vec<UpstreamChange>> {
         self.base.filter(|base| *base <= after)?;
         let start = self.steps.iter().rposition(|step| step.from <= after);
         let steps = self.steps.range(start.unwrap_or(0)..);
-        let config_changed = steps.clone().any(|step| step.config_changed);
+        let count: usize = steps.clone().map(|step| step.upstreams.len()).sum();
+        if count > MAX_SENT_CHANGES || steps.clone().any(|step| step.config_changed) {
+            return None;
+        }
         let upstreams = steps.flat_map(|step| step.upstreams.iter().cloned());
-        Some((config_changed, upstreams.collect()))
+        Some(upstreams.collect())
     }
 }
--- a/crates/oleanderpost-serving/src/discovery.rs
+++ b/crates/oleanderpost-serving/src/discovery.rs
@@ -142,11 +142,13 @@
         let mut following = false;
         let mut failed_checks = 0;
         while self.may_follow() {
-            let followed = match self.state.recent_peer_evidence(PEER_CONFIRMATION_MAX_AGE) {
-                Some(evidence) if self.state.is_behind(evidence) => self.apply_peer_changes().await,
-                Some(_) => true,
-                None => false,
-            };
+            let evidence = self.state.recent_peer_evidence(PEER_CONFIRMATION_MAX_AGE);
+            if evidence.is_some_and(|evidence| self.state.is_behind(evidence))
+                && !self.apply_peer_changes().await
+            {
+                break;
+            }
+            let followed = evidence.is_some();
             failed_checks = if followed { 0 } else { failed_checks + 1 };
             let is_recent = self
                 .state
@@ -195,7 +197,7 @@
         }
         let update = DiscoveryUpdate {
             revision: evidence.revision,
-            config: changes.config,
+            config: None,
             upstreams: changes.upstreams,
         };
         self.apply_update(update, false);
--- a/crates/oleanderpost-serving/src/node_state.rs
+++ b/crates/oleanderpost-serving/src/node_state.rs
@@ -184,19 +184,17 @@
         *current = current.max(Some(end));
     }
 
-    /// Changes since `after` to send to peers; `None` if not all of them are known.
+    /// Changes of upstreams since `after` to send to peers; `None` if peers should read the store.
     #[must_use]
     pub fn changes_for_peers(&self, after: Revision) -> Option<PeerChanges> {
         let evidence = self.evidence_for_peers()?;
-        let (config_changed, upstreams) = self.change_log().since(after)?;
-        let config = self.config().filter(|_| config_changed);
+        let upstreams = self.change_log().since(after)?;
         let now = BootTime::now();
         let grace = self
             .missing_grace_end()
             .map_or(Duration::ZERO, |end| end.since(now));
         Some(PeerChanges {
             evidence,
-            config: config.map(|config| ServingConfig::clone(&config)),
             upstreams,
             missing_grace_ms: u64::try_from(grace.as_millis()).unwrap_or(u64::MAX),
         })
--- a/crates/oleanderpost-serving/src/peer_changes.rs
+++ b/crates/oleanderpost-serving/src/peer_changes.rs
@@ -2,15 +2,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{PeerEvidence, ServingConfig, UpstreamChange};
+use crate::{PeerEvidence, UpstreamChange};
 
-/// Changes since a revision, sent to a peer that follows this node in place of the store.
+/// Changes of upstreams since a revision, sent to a peer that follows this node in place of the store.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PeerChanges {
     /// Evidence of how current the state is with these changes applied.
     pub evidence: PeerEvidence,
-    /// Applied configuration, if it has changed.
-    pub config: Option<ServingConfig>,
     /// Changes of upstreams, in order.
     pub upstreams: Vec<UpstreamChange>,
     /// Remaining time for which missing upstreams are kept after an outage of the store, in milliseconds.
