Bound the log of changes by its steps too

Found while reading the diff: configuration changes carry no change of an upstream, so the log of a node with thousands of configurations would have grown without end, and one step of more than 4,096 changes would have ended it for good. A test plays 200 changes at once: one request to the store, then the peer is followed again.

--- a/crates/oleanderpost-serving/src/change_log.rs
+++ b/crates/oleanderpost-serving/src/change_log.rs
@@ -4,8 +4,8 @@
 
 use crate::{UpstreamChange, discovery_source::Revision};
 
-/// Maximum number of logged changes of upstreams: several times the entries of a large fleet.
-const MAX_CHANGES: usize = 4_096;
+/// Maximum number of logged steps and changes of upstreams together: several times the entries of a large fleet.
+const MAX_ENTRIES: usize = 4_096;
 
 /// Maximum number of changes sent to a peer. One node sends them to all others, so more of them, and whole
 /// configurations, would fill the link of a small VM; the store sends them to each node by itself.
@@ -19,13 +19,19 @@
     upstreams: Vec<UpstreamChange>,
 }
 
+impl Step {
+    fn entries(&self) -> usize {
+        self.upstreams.len() + 1
+    }
+}
+
 /// Latest changes that a node has applied, for peers that follow it in place of the store.
 #[derive(Debug, Default)]
 pub(crate) struct ChangeLog {
     /// Revision from which on the log is complete; `None` before the first full state.
     base: Option<Revision>,
     steps: VecDeque<Step>,
-    changes: usize,
+    entries: usize,
 }
 
 impl ChangeLog {
@@ -36,17 +42,19 @@
         config_changed: bool,
         upstreams: &[UpstreamChange],
     ) {
-        self.changes += upstreams.len();
-        self.steps.push_back(Step {
+        self.base.get_or_insert(from);
+        let step = Step {
             from,
             config_changed,
             upstreams: upstreams.to_vec(),
-        });
-        while self.changes > MAX_CHANGES {
+        };
+        self.entries += step.entries();
+        self.steps.push_back(step);
+        while self.entries > MAX_ENTRIES {
             let Some(dropped) = self.steps.pop_front() else {
                 break;
             };
-            self.changes -= dropped.upstreams.len();
+            self.entries -= dropped.entries();
             self.base = self.steps.front().map(|step| step.from);
         }
     }
--- a/crates/oleanderpost-serving/src/group_search.rs
+++ b/crates/oleanderpost-serving/src/group_search.rs
@@ -101,7 +101,7 @@
         grants.find(|grant| grant.first_event_ms <= self.work.deadline_ms)
     }
 
-    /// Whether there are enough engines for a group of up to `max_size`, regardless of time.
+    /// Whether there are enough engines for the smallest group or for one of `max_size`, regardless of time.
     pub(crate) fn has_room(&self, max_size: usize) -> bool {
         self.find_of_size(max_size).is_some() || self.find_of_size(self.holders.max(2)).is_some()
     }
--- a/crates/oleanderpost-serving/tests/following.rs
+++ b/crates/oleanderpost-serving/tests/following.rs
@@ -256,6 +256,22 @@
     );
 }
 
+/// Guards against a fault found in a sweep: the followed node sent each of 3,000 registrations to each of 300 nodes.
+#[tokio::test]
+async fn many_changes_at_once_are_read_from_the_store() {
+    let pair = Pair::start().await;
+    pair.change_both(&UpstreamChange::Put(upstream("w", false)));
+    sleep(ARRIVAL_TIME).await;
+    let before = pair.own_requests();
+    for n in 0..200 {
+        pair.change_both(&UpstreamChange::Put(upstream(&format!("n{n}"), false)));
+    }
+    wait_until(ARRIVAL_TIME, "added", || pair.is_usable("n199")).await;
+    pair.change_both(&UpstreamChange::Put(upstream("u", true)));
+    wait_until(ARRIVAL_TIME * 2, "draining", || !pair.is_usable("u")).await;
+    assert_eq!(pair.own_requests(), before + 1);
+}
+
 #[tokio::test]
 async fn node_turns_to_the_store_when_its_peer_falls_silent() {
     let pair = Pair::start().await;
