--- a/crates/oleanderpost-serving/src/lib.rs
+++ b/crates/oleanderpost-serving/src/lib.rs
@@ -166,7 +166,9 @@
     signal_version::SignalVersion,
     store_history::StoreHistory,
     store_position::{InvalidPosition, StorePosition},
-    text_ids::{AccountName, DataCentreName, RequestId, RouteName, ServiceName, UpstreamId},
+    text_ids::{
+        AccountName, DataCentreName, PartId, RequestId, RouteName, ServiceName, UpstreamId,
+    },
     upstream::Upstream,
     upstream_codec::UpstreamCodec,
     upstream_directory::{MISSING_ENTRY_GRACE, UpstreamDirectory},
--- a/crates/oleanderpost-serving/src/request_head.rs
+++ b/crates/oleanderpost-serving/src/request_head.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::RequestId;
+use crate::{PartId, RequestId};
 
 /// Metadata in the headers of a caller's request.
 #[derive(Clone, Debug, PartialEq)]
@@ -23,4 +23,14 @@
     pub expected_output_tokens: Option<f64>,
     /// Identifier of the last event of a stream that the caller has received.
     pub last_event_id: Option<u64>,
+    /// Parts of the prompt in order; empty if the caller names none.
+    pub prompt_parts: Vec<PartId>,
+}
+
+impl RequestHead {
+    /// The parts of the prompt, for logs.
+    pub(crate) fn prompt_parts_text(&self) -> String {
+        let parts: Vec<_> = self.prompt_parts.iter().map(PartId::as_str).collect();
+        parts.join(",")
+    }
 }
--- a/crates/oleanderpost-serving/src/stream_proxy.rs
+++ b/crates/oleanderpost-serving/src/stream_proxy.rs
@@ -254,7 +254,8 @@
         }
         spdlog::info!("attempt failed", kv: {
             request: = self.request.head.id, upstream: = e.upstream, step = e.step, may_have_run = e.ran.may_have_run(),
-            cause = e.cause.as_str(), events = self.forwarded_events
+            cause = e.cause.as_str(), events = self.forwarded_events,
+            prompt_parts = self.request.head.prompt_parts_text().as_str()
         });
     }
 
--- a/crates/oleanderpost-serving/src/text_ids.rs
+++ b/crates/oleanderpost-serving/src/text_ids.rs
@@ -60,6 +60,11 @@
     RequestId
 }
 
+text_id! {
+    /// Identifier of a part of a prompt; requests with the same part share its tokens.
+    PartId
+}
+
 text_id! {
     /// Name of a data centre.
     DataCentreName
