--- a/crates/oleanderpost-serving/tests/crash_ledger.rs
+++ b/crates/oleanderpost-serving/tests/crash_ledger.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 
-use bolero::{TypeGenerator, ValueGenerator, check, produce};
+use bolero::{TypeGenerator, check, produce};
 use oleanderpost_serving::{CrashLedger, PartId, Quarantine, ServiceName, UpstreamId};
 
 fn prompt(text: &str) -> Vec<PartId> {
