Relay requests to peers while a node has no path to any upstream

Cause: a failed connection was taken for a fault of its upstream. The node tried the next one, 350 ms each, rejected, and its reports made the scheduler avoid sound engines for all nodes. Ruled out: requests hanging on old connections (two in twelve seconds).

Change: UpstreamReach. After a failed connection, or without any response while requests wait, the node tries three other upstreams. If none can be connected to, the paths are lost: failures are no longer reported as the engines', and requests that have not run are sent to peers that reach upstreams. Heartbeats name them. A relayed request is not relayed again; a peer that can't serve it answers 421, and the next one is tried. The node checks until the paths are back. It stays ready, since the platform uses it anyway when most of a zone is cut off.

--- a/crates/oleanderpost-serving/src/buffered_proxy.rs
+++ b/crates/oleanderpost-serving/src/buffered_proxy.rs
@@ -1,14 +1,18 @@
 //! [`BufferedProxy`].
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http::{Response, response::Parts};
 
 use crate::{
     AttemptError, AttemptHeaders, Attempts, BootTime, EntryContext, Rejection, ResponseBody,
-    RunStatus, Upstream, UpstreamId, admitted_request::AdmittedRequest,
-    plain_selector::PlainSelector, upstream_response::caller_response,
+    RunStatus, Upstream, UpstreamId, admitted_request::AdmittedRequest, peer_relay::PeerRelay,
+    plain_selector::PlainSelector, upstream_client::NO_PATH_STEP,
+    upstream_response::caller_response,
 };
 
 /// Shortest timeout of an attempt that others may follow.
@@ -26,7 +30,7 @@
 
 /// Forwards one request whose response is not a stream, and buffers the response.
 pub(crate) struct BufferedProxy<'a> {
-    entry: &'a EntryContext,
+    entry: &'a Arc<EntryContext>,
     request: &'a AdmittedRequest,
     attempts: Attempts,
     tried_upstreams: Vec<UpstreamId>,
@@ -37,7 +41,7 @@
 }
 
 impl<'a> BufferedProxy<'a> {
-    pub(crate) fn new(entry: &'a EntryContext, request: &'a AdmittedRequest) -> Self {
+    pub(crate) fn new(entry: &'a Arc<EntryContext>, request: &'a AdmittedRequest) -> Self {
         Self {
             entry,
             request,
@@ -57,7 +61,7 @@
                 Ok(upstream) => upstream,
                 Err(retry_after) => {
                     self.retry_after = retry_after;
-                    return self.finish_failed(None);
+                    return self.finish_failed(None).await;
                 }
             };
             match self.attempt(&upstream).await {
@@ -66,14 +70,14 @@
                     self.tried_upstreams.push(upstream.id.clone());
                     self.upstream_failure = Some(response);
                     if !self.may_retry() {
-                        return self.finish_failed(None);
+                        return self.finish_failed(None).await;
                     }
                 }
                 Ok(response) => return self.respond(&response, &upstream.id),
                 Err(e) => {
                     self.record_failed_attempt(&e);
                     if !self.may_retry() {
-                        return self.finish_failed(Some(&e));
+                        return self.finish_failed(Some(&e)).await;
                     }
                 }
             }
@@ -139,7 +143,7 @@
         self.tried_upstreams.push(e.upstream.clone());
         if e.ran == RunStatus::InstanceGone {
             self.entry.state.directory().mark_leaving(&e.upstream);
-        } else if e.step != "check" {
+        } else if e.step != "check" && e.step != NO_PATH_STEP {
             self.entry.balancer.note_error(e, BootTime::now());
         }
         let upstream = self.entry.state.usable_upstream(&e.upstream);
@@ -169,7 +173,7 @@
 
     /// Responds when no attempt has succeeded: with the last 5xx response of an upstream, or with a
     /// rejection.
-    fn finish_failed(mut self, last_error: Option<&AttemptError>) -> Response<ResponseBody> {
+    async fn finish_failed(mut self, last_error: Option<&AttemptError>) -> Response<ResponseBody> {
         if let Some(response) = self.upstream_failure.take() {
             self.log_end(
                 "upstream's failure passed on",
@@ -178,6 +182,11 @@
             );
             return caller_response(&response.parts, ResponseBody::new(response.body));
         }
+        if self.attempts.may_have_run == 0
+            && let Some(response) = PeerRelay::new(self.entry).forward(self.request).await
+        {
+            return response;
+        }
         let rejection =
             if self.attempts.may_have_run == 0 && self.entry.must_not_dispatch(self.request) {
                 Rejection::NotReady
--- a/crates/oleanderpost-serving/src/entry_context.rs
+++ b/crates/oleanderpost-serving/src/entry_context.rs
@@ -12,7 +12,7 @@
     Attempts, BootTime, DataCentreName, EngineControl, LogRateLimiter, Metrics, NodeState,
     PlainBalancer, RetryPolicy, SchedulerClient, Settings, UpstreamCodec,
     admitted_request::AdmittedRequest, body_budget::BodyBudget, idle_connection_limit,
-    upstream_client::UpstreamClient,
+    upstream_client::UpstreamClient, upstream_reach::UpstreamReach,
 };
 
 /// Share of the process's memory limit that request bodies may use.
@@ -24,6 +24,7 @@
     pub(crate) control: Arc<dyn EngineControl>,
     pub(crate) state: Arc<NodeState>,
     pub(crate) client: UpstreamClient,
+    pub(crate) reach: Arc<UpstreamReach>,
     pub(crate) scheduler: Arc<SchedulerClient>,
     pub(crate) balancer: PlainBalancer,
     pub(crate) retry_policy: RetryPolicy,
@@ -46,8 +47,10 @@
         scheduler: Arc<SchedulerClient>,
     ) -> Self {
         let memory_bytes = settings.memory_mb as f64 * 1024.0 * 1024.0;
+        let reach = Arc::new(UpstreamReach::new());
         Self {
-            client: UpstreamClient::new(Arc::clone(&codec), Arc::clone(&state)),
+            client: UpstreamClient::new(Arc::clone(&codec), Arc::clone(&state), Arc::clone(&reach)),
+            reach,
             codec,
             control,
             state,
@@ -116,7 +119,10 @@
     /// Whether the request may be sent to another upstream after failed attempts; takes the retry from the
     /// budget.
     pub(crate) fn may_retry(&self, request: &AdmittedRequest, attempts: Attempts) -> bool {
-        !self.must_not_dispatch(request)
+        // A request that has not run can be relayed to a peer.
+        let is_relayed = attempts.may_have_run == 0 && self.reach.is_lost();
+        !is_relayed
+            && !self.must_not_dispatch(request)
             && self.retry_policy.allows(
                 request.route.retry_terms(),
                 &request.service,
--- a/crates/oleanderpost-serving/src/node.rs
+++ b/crates/oleanderpost-serving/src/node.rs
@@ -23,6 +23,8 @@
     UpstreamSignal, node_name, node_name::NodeNameAddressBook,
 };
 
+/// Interval between updates of whether this node relays for others; heartbeats pass it on as often.
+const RELAY_OFFER_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval between checks for requests in progress while the node drains.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Minimum duration of a drain: load balancers need this time to stop sending requests to the node.
@@ -108,6 +110,7 @@
             Arc::clone(&scheduler_host),
         )?;
         let (callers_address, admin_address) = (caller_server.address()?, admin_server.address()?);
+        let relay_address = relay_address(callers_address, settings.links_listen);
         let changed = Arc::new(Notify::new());
         let discovery = Discovery::new(platform.source, Arc::clone(&state), Arc::clone(&changed))
             .with_peers(Arc::clone(&scheduler) as Arc<dyn PeerStateSource>);
@@ -121,6 +124,9 @@
             changed,
         ));
         tasks.spawn(clean_up_periodically(Arc::clone(&entry)));
+        let (reach, reach_state) = (Arc::clone(&entry.reach), Arc::clone(&state));
+        tasks.spawn(async move { reach.run(&reach_state).await });
+        tasks.spawn(offer_relay(Arc::clone(&entry), relay_address));
         let running_host = Arc::clone(&scheduler_host);
         tasks.spawn(async move { running_host.run().await });
         tasks.spawn(async move { scheduler.run().await });
@@ -355,6 +361,23 @@
     }
 }
 
+/// Address at which peers reach the listener for callers.
+fn relay_address(mut callers: SocketAddr, links: SocketAddr) -> SocketAddr {
+    if callers.ip().is_unspecified() {
+        callers.set_ip(links.ip());
+    }
+    callers
+}
+
+/// Offers this node to peers that have lost their upstreams, unless it has lost its own.
+async fn offer_relay(entry: Arc<EntryContext>, address: SocketAddr) {
+    loop {
+        let offered = (!entry.reach.is_lost()).then_some(address);
+        entry.scheduler.offer_relay(offered);
+        sleep(RELAY_OFFER_INTERVAL).await;
+    }
+}
+
 async fn clean_up_periodically(entry: Arc<EntryContext>) {
     loop {
         sleep(CLEAN_UP_INTERVAL).await;
--- /dev/null
+++ b/crates/oleanderpost-serving/src/peer_relay.rs
@@ -0,0 +1,176 @@
+//! [`PeerRelay`].
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use http::{Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::{body::Incoming, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use tokio::{
+    net::TcpStream,
+    sync::mpsc,
+    time::{Instant, timeout_at},
+};
+
+use crate::{
+    EntryContext, Rejection, ResponseAborted, ResponseBody, RunStatus,
+    admitted_request::AdmittedRequest, in_progress_guard::InProgressGuard,
+    upstream_response::caller_response,
+};
+
+/// Timeout for connecting to a peer.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Number of chunks of a response buffered for a slow caller.
+const CHUNK_BUFFER_LEN: usize = 32;
+
+/// Error of one attempt to relay a request.
+struct RelayError {
+    ran: RunStatus,
+    cause: String,
+}
+
+impl RelayError {
+    fn new(ran: RunStatus, cause: impl std::fmt::Display) -> Self {
+        Self {
+            ran,
+            cause: cause.to_string(),
+        }
+    }
+}
+
+/// Forwards callers' requests to peers while this node has no path to any upstream.
+pub(crate) struct PeerRelay {
+    entry: Arc<EntryContext>,
+}
+
+impl PeerRelay {
+    pub(crate) fn new(entry: &Arc<EntryContext>) -> Self {
+        Self {
+            entry: Arc::clone(entry),
+        }
+    }
+
+    /// Forwards a request that has not run to a peer if this node has lost all upstreams; `None` if no peer accepts
+    /// it. Relayed requests are not relayed again.
+    pub(crate) async fn forward(
+        &self,
+        request: &AdmittedRequest,
+    ) -> Option<Response<ResponseBody>> {
+        if !self.entry.reach.is_lost() || request.head.relayed {
+            return None;
+        }
+        for peer in self.entry.scheduler.relays() {
+            let e = match self.try_peer(request, peer).await {
+                Ok(resp) => return Some(resp),
+                Err(e) => e,
+            };
+            if self.entry.may_log() {
+                spdlog::info!("failed to relay request", kv: {
+                    request: = request.head.id, peer: = peer, may_have_run = e.ran.may_have_run(),
+                    cause = e.cause.as_str()
+                });
+            }
+            if e.ran.may_have_run() {
+                let rejection = if request.time_left().is_zero() {
+                    Rejection::TimedOut
+                } else {
+                    Rejection::UpstreamFailed
+                };
+                self.entry.metrics.count_rejection(rejection);
+                return Some(rejection.response());
+            }
+        }
+        None
+    }
+
+    async fn try_peer(
+        &self,
+        request: &AdmittedRequest,
+        peer: SocketAddr,
+    ) -> Result<Response<ResponseBody>, RelayError> {
+        let not_run = |cause: &dyn std::fmt::Display| RelayError::new(RunStatus::NotRun, cause);
+        let deadline = Instant::now() + request.time_left();
+        let connect_deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
+        let stream = timeout_at(connect_deadline, TcpStream::connect(peer)).await;
+        let stream = stream.map_err(|e| not_run(&e))?.map_err(|e| not_run(&e))?;
+        stream.set_nodelay(true).map_err(|e| not_run(&e))?;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|e| not_run(&e))?;
+        tokio::spawn(async move {
+            if let Err(e) = connection.await {
+                spdlog::debug!("relay connection closed with an error", kv: { peer: = peer, error: = e });
+            }
+        });
+        // The process may have been suspended since the last check.
+        let time_left = request.time_left();
+        if time_left.is_zero() {
+            return Err(not_run(&"time limit of the request has passed"));
+        }
+        let relayed =
+            self.entry
+                .codec
+                .build_relayed_request(&request.parts, time_left, request.body.clone());
+        let sent = timeout_at(deadline, sender.send_request(relayed)).await;
+        let sent = sent.map_err(|e| RelayError::new(RunStatus::MayHaveRun, e))?;
+        let resp = sent.map_err(|e| {
+            let ran = if e.is_canceled() {
+                RunStatus::NotRun
+            } else {
+                RunStatus::MayHaveRun
+            };
+            RelayError::new(ran, e)
+        })?;
+        if resp.status() == StatusCode::MISDIRECTED_REQUEST {
+            return Err(not_run(&"the peer accepts no relayed requests"));
+        }
+        self.log_relayed(request, peer, resp.status());
+        let (parts, body) = resp.into_parts();
+        let (tx, rx) = mpsc::channel(CHUNK_BUFFER_LEN);
+        let guard = InProgressGuard::new(Arc::clone(&self.entry));
+        tokio::spawn(async move {
+            let _guard = guard;
+            // Keeps the connection open until the response is complete.
+            let _sender = sender;
+            tokio::select! {
+                () = copy_body(body, &tx, deadline) => {}
+                () = tx.closed() => {}
+            }
+        });
+        Ok(caller_response(&parts, ResponseBody::Streamed(rx)))
+    }
+
+    fn log_relayed(&self, request: &AdmittedRequest, peer: SocketAddr, status: StatusCode) {
+        if !self.entry.may_log() {
+            return;
+        }
+        spdlog::info!("request relayed to a peer", kv: {
+            request: = request.head.id, peer: = peer, status = status.as_u16(),
+            ms = request.elapsed().as_millis() as u64
+        });
+    }
+}
+
+/// Copies the body of a peer's response until it ends, fails or is late.
+async fn copy_body(
+    mut body: Incoming,
+    tx: &mpsc::Sender<Result<Option<bytes::Bytes>, ResponseAborted>>,
+    deadline: Instant,
+) {
+    loop {
+        let chunk = match timeout_at(deadline, body.frame()).await {
+            Ok(Some(Ok(frame))) => match frame.into_data() {
+                Ok(bytes) => Ok(Some(bytes)),
+                // Trailers.
+                Err(_) => continue,
+            },
+            Ok(None) => Ok(None),
+            Ok(Some(Err(_))) | Err(_) => Err(ResponseAborted),
+        };
+        let is_last = !matches!(chunk, Ok(Some(_)));
+        // Fails only if the caller has disconnected.
+        if tx.send(chunk).await.is_err() || is_last {
+            return;
+        }
+    }
+}
--- a/crates/oleanderpost-serving/src/rejection.rs
+++ b/crates/oleanderpost-serving/src/rejection.rs
@@ -31,6 +31,8 @@
     Draining,
     /// The node has no usable configuration, or it is not known to be current. The request did not run.
     NotReady,
+    /// A peer has relayed the request to this node, which can't serve it either. The request did not run.
+    NoRelay,
     /// Upstreams failed; the request may have run.
     UpstreamFailed,
     /// The time limit passed; the request may have run.
@@ -48,6 +50,7 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::Busy(_) | Self::Draining | Self::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoRelay => StatusCode::MISDIRECTED_REQUEST,
             Self::UpstreamFailed => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -65,6 +68,7 @@
             Self::Busy(_) => "busy",
             Self::Draining => "draining",
             Self::NotReady => "not_ready",
+            Self::NoRelay => "no_relay",
             Self::UpstreamFailed => "upstream_failed",
             Self::TimedOut => "timed_out",
         }
--- a/crates/oleanderpost-serving/src/request_handler.rs
+++ b/crates/oleanderpost-serving/src/request_handler.rs
@@ -11,7 +11,7 @@
 use crate::{
     BootTime, EntryContext, Rejection, RequestId, ResponseBody, Route, ServingConfig,
     admitted_request::AdmittedRequest, body_budget::BodyAllocation, buffered_proxy::BufferedProxy,
-    in_progress_guard::InProgressGuard, stream_proxy::StreamProxy,
+    in_progress_guard::InProgressGuard, peer_relay::PeerRelay, stream_proxy::StreamProxy,
 };
 
 /// Longest time for receiving a request body; a shorter deadline or route timeout takes precedence.
@@ -41,8 +41,17 @@
         let parts = Arc::new(parts);
         let request = match self.admit(arrived_at, &parts, body).await {
             Ok(request) => request,
+            Err(Rejection::Draining | Rejection::NotReady) if self.is_relayed(&parts) => {
+                return self.reject(&parts, Rejection::NoRelay);
+            }
             Err(rejection) => return self.reject(&parts, rejection),
         };
+        if self.entry.reach.is_lost() && request.head.relayed {
+            return self.reject(&parts, Rejection::NoRelay);
+        }
+        if let Some(response) = PeerRelay::new(&self.entry).forward(&request).await {
+            return response;
+        }
         self.entry
             .retry_policy
             .note_request(&request.service, arrived_at);
@@ -55,6 +64,11 @@
         }
     }
 
+    fn is_relayed(&self, parts: &http::request::Parts) -> bool {
+        let head = self.entry.codec.parse_request(parts);
+        head.is_ok_and(|head| head.relayed)
+    }
+
     /// Reads a request and decides whether it is admitted.
     async fn admit(
         &self,
--- a/crates/oleanderpost-serving/src/request_head.rs
+++ b/crates/oleanderpost-serving/src/request_head.rs
@@ -23,6 +23,8 @@
     pub expected_output_tokens: Option<f64>,
     /// Identifier of the last event of a stream that the caller has received.
     pub last_event_id: Option<u64>,
+    /// Whether a peer without upstreams has relayed the request.
+    pub relayed: bool,
     /// Parts of the prompt in order; empty if the caller names none.
     pub prompt_parts: Vec<PartId>,
 }
--- a/crates/oleanderpost-serving/src/scheduler_client.rs
+++ b/crates/oleanderpost-serving/src/scheduler_client.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     sync::{
         Arc, Mutex, PoisonError,
         atomic::{AtomicU64, AtomicUsize, Ordering},
@@ -66,6 +67,9 @@
     client_state: Mutex<ClientState>,
     leader: watch::Sender<VmId>,
     nodes: AtomicUsize,
+    /// Peers that accept relayed requests.
+    relays: Mutex<Vec<SocketAddr>>,
+    offered_address: Mutex<Option<SocketAddr>>,
     start_id: u64,
     next_number: AtomicU64,
 }
@@ -92,11 +96,37 @@
             client_state: Mutex::default(),
             leader: watch::Sender::new(first),
             nodes: AtomicUsize::new(1),
+            relays: Mutex::default(),
+            offered_address: Mutex::default(),
             start_id,
             next_number: AtomicU64::new(0),
         }
     }
 
+    /// Peers that accept relayed requests.
+    #[must_use]
+    pub fn relays(&self) -> Vec<SocketAddr> {
+        let relays = self.relays.lock().unwrap_or_else(PoisonError::into_inner);
+        relays.clone()
+    }
+
+    /// Sets the address at which this node accepts relayed requests.
+    pub fn offer_relay(&self, address: Option<SocketAddr>) {
+        let mut offered = self
+            .offered_address
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *offered = address;
+    }
+
+    fn relay_address(&self) -> Option<SocketAddr> {
+        let offered = self
+            .offered_address
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        offered.filter(|_| self.node_state.is_ready())
+    }
+
     /// Replaces the nodes that may act as scheduler for the fleet.
     pub fn set_seeds(&self, mut seeds: Vec<VmId>) {
         seeds.sort();
@@ -235,6 +265,7 @@
                 seen,
                 signals,
                 quarantines: self.host.quarantines(),
+                relay_address: self.relay_address(),
             };
             let reply = self.exchange(&seed, heartbeat, HEARTBEAT_TIMEOUT).await;
             let Some(reply) = reply else {
@@ -248,6 +279,7 @@
                 signals,
                 version,
                 quarantines,
+                relays,
             } = reply
             else {
                 self.skip_scheduler(&seed);
@@ -258,6 +290,7 @@
             }
             self.nodes.store(nodes.max(1), Ordering::Relaxed);
             self.host.note_fleet_size(nodes);
+            *self.relays.lock().unwrap_or_else(PoisonError::into_inner) = relays;
             if seed != self.own_id {
                 self.host.replace_quarantines(&quarantines);
             }
--- a/crates/oleanderpost-serving/src/scheduler_host.rs
+++ b/crates/oleanderpost-serving/src/scheduler_host.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     sync::{
         Arc, Mutex, PoisonError,
         atomic::{AtomicBool, Ordering},
@@ -10,6 +11,7 @@
 };
 
 use oleanderpost_types::VmId;
+use rand::seq::IteratorRandom;
 use tokio::{
     sync::Notify,
     time::{Instant, sleep, timeout},
@@ -38,6 +40,9 @@
 /// that have just lost their scheduler do not each take the whole limit of an upstream.
 const FLEET_SIZE_WINDOW: Duration = Duration::from_secs(30);
 
+/// Number of relays named to a node; the next heartbeat names others.
+const MAX_RELAYS: usize = 4;
+
 /// Delivers decisions about requests that had to wait.
 pub trait DecisionSink: Send + Sync {
     /// Delivers a decision to the node that submitted the request.
@@ -54,6 +59,8 @@
     limits: HashMap<UpstreamId, RequestRate>,
     /// Share of these limits that applies to the nodes served here.
     limit_share: f64,
+    /// Addresses at which nodes accept relayed requests.
+    relays: HashMap<VmId, SocketAddr>,
     /// Quarantines that have been logged.
     logged_quarantines: Vec<Quarantine>,
     /// Limiters of upstreams that no scheduler places requests on.
@@ -287,8 +294,15 @@
                 max_wait_ms,
             } => Some(Self::decide_permit(&mut state, now, &upstream, max_wait_ms)),
             SchedulerMessage::Heartbeat {
-                ids, quarantines, ..
+                ids,
+                quarantines,
+                relay_address,
+                ..
             } => {
+                match relay_address {
+                    Some(address) => state.relays.insert(from.clone(), address),
+                    None => state.relays.remove(from),
+                };
                 if !local {
                     learn_quarantines(&mut state, now, &quarantines);
                 }
@@ -404,6 +418,7 @@
             .collect();
         for node in silent {
             state.last_seen.remove(&node);
+            state.relays.remove(&node);
             for scheduler in state.schedulers.values_mut() {
                 scheduler.remove_node(now, &node);
             }
@@ -510,6 +525,10 @@
         unknown.retain(|id| !scheduler.contains(*id));
     }
     let nodes = state.last_seen.len();
+    let peers = state.relays.iter().filter(|(node, _)| *node != from);
+    let relays = peers
+        .map(|(_, address)| *address)
+        .sample(&mut rand::rng(), MAX_RELAYS);
     SchedulerMessage::HeartbeatReply {
         unknown,
         nodes,
@@ -517,6 +536,7 @@
         signals: Vec::new(),
         version: SignalVersion::default(),
         quarantines: quarantines(state, now),
+        relays,
     }
 }
 
--- a/crates/oleanderpost-serving/src/scheduler_message.rs
+++ b/crates/oleanderpost-serving/src/scheduler_message.rs
@@ -1,5 +1,7 @@
 //! [`SchedulerMessage`].
 
+use std::net::SocketAddr;
+
 use oleanderpost_peers::MessageKind;
 use serde::{Deserialize, Serialize};
 
@@ -71,6 +73,9 @@
         /// Parts of prompts that crash engines, for a scheduler that does not know them yet.
         #[serde(default)]
         quarantines: Vec<Quarantine>,
+        /// Address for requests that peers relay; `None` if the sender accepts none.
+        #[serde(default)]
+        relay_address: Option<SocketAddr>,
     },
     /// Reply to [`Heartbeat`](Self::Heartbeat).
     #[serde(rename = "Attended")]
@@ -91,6 +96,9 @@
         /// All parts of prompts that crash engines.
         #[serde(default)]
         quarantines: Vec<Quarantine>,
+        /// Addresses of some peers that accept relayed requests.
+        #[serde(default)]
+        relays: Vec<SocketAddr>,
     },
     /// Signals of upstreams that the sender has learned from their responses.
     Signals {
--- a/crates/oleanderpost-serving/src/stream_proxy.rs
+++ b/crates/oleanderpost-serving/src/stream_proxy.rs
@@ -16,7 +16,9 @@
     engine_finder::{DEFAULT_RETRY_AFTER, EngineFinder, PlacementError},
     event_reader::{EventError, EventReader, StreamItem},
     in_progress_guard::InProgressGuard,
+    peer_relay::PeerRelay,
     placement::Placement,
+    upstream_client::NO_PATH_STEP,
     upstream_pool::UpstreamConnection,
     upstream_response::{UpstreamResponse, caller_response},
 };
@@ -118,6 +120,11 @@
             self.log_end("upstream's failure passed on", parts.status.as_u16());
             return caller_response(&parts, ResponseBody::new(body));
         }
+        if self.attempts.may_have_run == 0
+            && let Some(response) = PeerRelay::new(&self.entry).forward(&self.request).await
+        {
+            return response;
+        }
         self.entry.metrics.count_rejection(rejection);
         self.log_end(rejection.name(), rejection.status().as_u16());
         rejection.response()
@@ -333,6 +340,7 @@
         .await
         {
             Ok(Ok(())) => {
+                self.entry.reach.note_response();
                 self.last_event_id = event.id.or(self.last_event_id);
                 self.forwarded_events += 1;
                 ForwardResult::Forwarded
@@ -491,7 +499,7 @@
 /// How the scheduler is to count a failed attempt.
 fn work_end(e: &AttemptError) -> WorkEnd {
     match e.ran {
-        _ if e.step == "check" => WorkEnd::Cancelled,
+        _ if e.step == "check" || e.step == NO_PATH_STEP => WorkEnd::Cancelled,
         RunStatus::NotRun if e.step == "refused" => WorkEnd::Shed,
         RunStatus::MayHaveRun if e.step == "send" => WorkEnd::Disconnected,
         _ => WorkEnd::Failed,
--- a/crates/oleanderpost-serving/src/upstream_client.rs
+++ b/crates/oleanderpost-serving/src/upstream_client.rs
@@ -10,25 +10,35 @@
     AttemptError, AttemptHeaders, BootTime, NodeState, RunStatus, Upstream, UpstreamCodec,
     admitted_request::AdmittedRequest,
     upstream_pool::{UpstreamConnection, UpstreamPool},
+    upstream_reach::UpstreamReach,
     upstream_response::UpstreamResponse,
 };
 
 /// Time limit for reading the rest of an unused response, so that its connection can be reused.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Step of attempts that failed because this node reaches no upstream; says nothing about the upstream.
+pub(crate) const NO_PATH_STEP: &str = "no path";
+
 /// Sends requests to upstreams.
 pub(crate) struct UpstreamClient {
     pub(crate) pool: Arc<UpstreamPool>,
     codec: Arc<dyn UpstreamCodec>,
     state: Arc<NodeState>,
+    reach: Arc<UpstreamReach>,
 }
 
 impl UpstreamClient {
-    pub(crate) fn new(codec: Arc<dyn UpstreamCodec>, state: Arc<NodeState>) -> Self {
+    pub(crate) fn new(
+        codec: Arc<dyn UpstreamCodec>,
+        state: Arc<NodeState>,
+        reach: Arc<UpstreamReach>,
+    ) -> Self {
         Self {
             pool: UpstreamPool::new(),
             codec,
             state,
+            reach,
         }
     }
 
@@ -43,10 +53,15 @@
         headers: AttemptHeaders<'_>,
         time_limit: Duration,
     ) -> Result<UpstreamResponse, AttemptError> {
-        let connection = self.pool.acquire(upstream).await;
-        let mut connection = connection.map_err(|cause| {
-            AttemptError::new("connect", &upstream.id, RunStatus::NotRun, cause)
-        })?;
+        let mut connection = match self.pool.acquire(upstream).await {
+            Ok(connection) => connection,
+            Err(cause) => {
+                let is_lost = self.reach.check(&self.state).await;
+                let step = if is_lost { NO_PATH_STEP } else { "connect" };
+                let ran = RunStatus::NotRun;
+                return Err(AttemptError::new(step, &upstream.id, ran, cause));
+            }
+        };
         self.check_before_send(request, upstream)?;
         let headers = AttemptHeaders {
             deadline: headers.deadline.min(request.time_left()),
@@ -56,7 +71,9 @@
             self.codec
                 .build_request(&request.parts, &headers, request.body.clone());
         let sent_at = BootTime::now();
+        let waiting = self.reach.wait();
         let sent = timeout(time_limit, connection.sender.send_request(upstream_request)).await;
+        drop(waiting);
         let sent = sent.map_err(|_| {
             AttemptError::new(
                 "await answer",
@@ -73,6 +90,7 @@
             };
             AttemptError::new("send", &upstream.id, ran, e)
         })?;
+        self.reach.note_response();
         let (parts, body) = resp.into_parts();
         let head = self.codec.parse_response(&parts);
         let response = UpstreamResponse {
--- a/crates/oleanderpost-serving/src/upstream_codec.rs
+++ b/crates/oleanderpost-serving/src/upstream_codec.rs
@@ -1,5 +1,7 @@
 //! [`UpstreamCodec`].
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http::{Request, request, response};
 use http_body_util::Full;
@@ -23,6 +25,14 @@
         body: Bytes,
     ) -> Request<Full<Bytes>>;
 
+    /// Builds the request to a peer that forwards it to an upstream; `deadline` is the time left.
+    fn build_relayed_request(
+        &self,
+        parts: &request::Parts,
+        deadline: Duration,
+        body: Bytes,
+    ) -> Request<Full<Bytes>>;
+
     /// Parses the headers of an upstream's response.
     fn parse_response(&self, parts: &response::Parts) -> ResponseHead;
 }
--- a/crates/oleanderpost-serving/tests/scheduler_client.rs
+++ b/crates/oleanderpost-serving/tests/scheduler_client.rs
@@ -302,6 +302,7 @@
         seen: SignalVersion::default(),
         signals: Vec::new(),
         quarantines: Vec::new(),
+        relay_address: None,
     };
     assert!(matches!(
         seed.handle(&vm_id("node"), heartbeat, false),
@@ -315,6 +316,7 @@
         seen: SignalVersion::default(),
         signals: Vec::new(),
         quarantines: Vec::new(),
+        relay_address: None,
     };
     assert!(matches!(
         seed.handle(&vm_id("other"), heartbeat, false),
