--- a/crates/oleanderpost-bench/examples/scheduler_cost.rs
+++ b/crates/oleanderpost-bench/examples/scheduler_cost.rs
@@ -96,6 +96,7 @@
         priority: 1,
         data_centre: DataCentreName::new("dc-a"),
         excluded: Vec::new(),
+        parts: Vec::new(),
     }
 }
 
