--- a/crates/oleanderpost-serving/src/upstream_client.rs
+++ b/crates/oleanderpost-serving/src/upstream_client.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use http::StatusCode;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use tokio::time::timeout;
 
 use crate::{
@@ -17,6 +17,8 @@
 /// Time limit for reading the rest of an unused response, so that its connection can be reused.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Largest rest of an unused response that is read. A longer one costs more than another connection.
+const MAX_DISCARDED_BYTES: usize = 64 << 10;
 /// Step of attempts that failed because this node reaches no upstream; says nothing about the upstream.
 pub(crate) const NO_PATH_STEP: &str = "no path";
 
@@ -202,6 +204,7 @@
         }
         let pool = Arc::clone(&self.pool);
         tokio::spawn(async move {
+            let body = Limited::new(body, MAX_DISCARDED_BYTES);
             if let Ok(Ok(_)) = timeout(DISCARD_TIMEOUT, body.collect()).await {
                 pool.release(connection, head.keep_alive);
             }
