Log which request an upstream had when it crashed

Callers of agenda-app lost their requests with its upstreams, and the logs could not tell whether one request came again and again, whether the nodes' own retries or the load crashed the upstreams, or whether they crashed at all. A failed attempt now names the fingerprint of the request if the upstream broke it off, and a connection to the upstream shows whether its process is gone.

Decisions about requests are as before. A retry after a broken connection waits for that connection, at most 50 ms; it is kept if it opens. The fingerprint is computed only when it is needed.

--- a/crates/oleanderpost-serving/src/admitted_request.rs
+++ b/crates/oleanderpost-serving/src/admitted_request.rs
@@ -1,11 +1,17 @@
 //! [`AdmittedRequest`].
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::request::Parts;
 
-use crate::{Account, BootTime, RequestHead, Route, ServiceName, body_budget::BodyAllocation};
+use crate::{
+    Account, AttemptError, BootTime, RequestFingerprint, RequestHead, Route, ServiceName,
+    body_budget::BodyAllocation,
+};
 
 /// Longest gap between events of a stream that callers expect, if the route does not state one.
 const DEFAULT_MAX_EVENT_GAP: Duration = Duration::from_millis(1_000);
@@ -24,6 +30,8 @@
     /// Version of the configuration under which the request was admitted.
     pub(crate) config_version: u64,
     pub(crate) arrived_at: BootTime,
+    /// Set by [`fingerprint`](Self::fingerprint).
+    pub(crate) fingerprint: OnceLock<RequestFingerprint>,
 }
 
 impl AdmittedRequest {
@@ -55,6 +63,35 @@
         self.account.is_some()
     }
 
+    /// Hash of the method, host, path, account, prompt and body. Computed when it is first needed, since a body may have
+    /// megabytes.
+    pub(crate) fn fingerprint(&self) -> RequestFingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let path = self.parts.uri.path_and_query();
+            let account = self.account.as_ref();
+            let prompt = self.head.prompt_parts_text();
+            RequestFingerprint::from_fields([
+                self.parts.method.as_str().as_bytes(),
+                self.head.host.as_bytes(),
+                path.map_or("", |path| path.as_str()).as_bytes(),
+                account
+                    .map_or("", |account| account.name.as_str())
+                    .as_bytes(),
+                prompt.as_bytes(),
+                &self.body,
+            ])
+        })
+    }
+
+    /// The fingerprint for the log line about a failed attempt; empty unless the upstream broke off the request.
+    pub(crate) fn fingerprint_text(&self, e: &AttemptError) -> String {
+        if e.disconnected {
+            self.fingerprint().to_string()
+        } else {
+            String::new()
+        }
+    }
+
     /// Scheduling priority; 0 is the highest.
     pub(crate) fn priority(&self) -> u8 {
         let account_priority = self.account.as_ref().and_then(|account| account.priority);
--- a/crates/oleanderpost-serving/src/attempt_error.rs
+++ b/crates/oleanderpost-serving/src/attempt_error.rs
@@ -12,6 +12,8 @@
     pub upstream: UpstreamId,
     /// Whether the upstream may have run the request.
     pub ran: RunStatus,
+    /// Whether the upstream closed or reset the connection while it had the request.
+    pub disconnected: bool,
     /// Description of the cause, for logs.
     pub cause: String,
 }
@@ -28,7 +30,21 @@
             step,
             upstream: upstream.clone(),
             ran,
+            disconnected: false,
             cause: cause.to_string(),
         }
     }
+
+    /// Creates the error of an attempt whose upstream closed or reset the connection at `step`, while it had the
+    /// request.
+    pub fn new_disconnected(
+        step: &'static str,
+        upstream: &UpstreamId,
+        cause: impl std::fmt::Display,
+    ) -> Self {
+        Self {
+            disconnected: true,
+            ..Self::new(step, upstream, RunStatus::MayHaveRun, cause)
+        }
+    }
 }
--- a/crates/oleanderpost-serving/src/buffered_proxy.rs
+++ b/crates/oleanderpost-serving/src/buffered_proxy.rs
@@ -76,6 +76,9 @@
                 Ok(response) => return self.respond(&response, &upstream.id),
                 Err(e) => {
                     self.record_failed_attempt(&e);
+                    if e.disconnected {
+                        self.entry.note_disconnected(self.request, &upstream).await;
+                    }
                     if !self.may_retry() {
                         return self.finish_failed(Some(&e)).await;
                     }
@@ -109,9 +112,7 @@
         let load = response.head.load;
         let time_left = time_limit.saturating_sub(started.elapsed());
         let collected = response.collect(&self.entry.client.pool, time_left).await;
-        let (parts, body) = collected.map_err(|cause| {
-            AttemptError::new("read answer", &upstream.id, RunStatus::MayHaveRun, cause)
-        })?;
+        let (parts, body) = collected.map_err(|e| e.into_attempt_error(&upstream.id))?;
         let failed = parts.status.is_server_error();
         self.entry.balancer.note_response(
             &upstream.id,
@@ -155,7 +156,7 @@
         }
         spdlog::info!("attempt failed", kv: {
             request: = self.request.head.id, upstream: = e.upstream, step = e.step, may_have_run = e.ran.may_have_run(),
-            cause = e.cause.as_str()
+            cause = e.cause.as_str(), fingerprint = self.request.fingerprint_text(e).as_str()
         });
     }
 
--- a/crates/oleanderpost-serving/src/entry_context.rs
+++ b/crates/oleanderpost-serving/src/entry_context.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     Attempts, BootTime, DataCentreName, EngineControl, LogRateLimiter, Metrics, NodeState,
-    PlainBalancer, RetryPolicy, SchedulerClient, Settings, UpstreamCodec,
+    PlainBalancer, RetryPolicy, SchedulerClient, Settings, Upstream, UpstreamCodec,
     admitted_request::AdmittedRequest, body_budget::BodyBudget, idle_connection_limit,
     upstream_client::UpstreamClient, upstream_reach::UpstreamReach,
 };
@@ -133,6 +133,19 @@
             )
     }
 
+    /// Finds out whether an upstream that has just broken off the request has crashed.
+    pub(crate) async fn note_disconnected(&self, request: &AdmittedRequest, upstream: &Upstream) {
+        if !self.client.has_crashed(upstream).await {
+            return;
+        }
+        if self.may_log() {
+            spdlog::info!("upstream crashed while it had a request", kv: {
+                request: = request.head.id, fingerprint: = request.fingerprint(), upstream: = upstream.id,
+                started_at = upstream.started_at.unwrap_or(0)
+            });
+        }
+    }
+
     /// Whether the request must not be sent to any upstream now: its API key may have been revoked, since the
     /// configuration is not known to be current.
     pub(crate) fn must_not_dispatch(&self, request: &AdmittedRequest) -> bool {
--- a/crates/oleanderpost-serving/src/event_reader.rs
+++ b/crates/oleanderpost-serving/src/event_reader.rs
@@ -6,7 +6,7 @@
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
-use crate::{Event, EventSplitter, WorkEnd};
+use crate::{AttemptError, Event, EventSplitter, RunStatus, UpstreamId, WorkEnd};
 
 /// Largest size of one event, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
@@ -35,6 +35,18 @@
 }
 
 impl EventError {
+    /// The error of an attempt at `upstream` that failed for this reason.
+    pub(crate) fn into_attempt_error(
+        self,
+        step: &'static str,
+        upstream: &UpstreamId,
+    ) -> AttemptError {
+        match self {
+            Self::Stream(_) => AttemptError::new_disconnected(step, upstream, self),
+            _ => AttemptError::new(step, upstream, RunStatus::MayHaveRun, self),
+        }
+    }
+
     /// How the scheduler is to count the request.
     pub(crate) fn work_end(&self) -> WorkEnd {
         match self {
--- a/crates/oleanderpost-serving/src/lib.rs
+++ b/crates/oleanderpost-serving/src/lib.rs
@@ -74,6 +74,7 @@
 mod queued_work;
 mod recent_maximum;
 mod rejection;
+mod request_fingerprint;
 mod request_handler;
 mod request_head;
 mod request_limiter;
@@ -149,6 +150,7 @@
     plain_balancer::PlainBalancer,
     quarantine::Quarantine,
     rejection::Rejection,
+    request_fingerprint::{InvalidFingerprint, RequestFingerprint},
     request_handler::RequestHandler,
     request_head::RequestHead,
     request_limiter::RequestLimiter,
--- a/crates/oleanderpost-serving/src/request_handler.rs
+++ b/crates/oleanderpost-serving/src/request_handler.rs
@@ -1,6 +1,9 @@
 //! [`RequestHandler`].
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use bytes::{Bytes, BytesMut};
 use http::{Request, Response};
@@ -129,6 +132,7 @@
             service,
             config_version: config.version(),
             arrived_at,
+            fingerprint: OnceLock::new(),
         })
     }
 
--- a/crates/oleanderpost-serving/src/stream_proxy.rs
+++ b/crates/oleanderpost-serving/src/stream_proxy.rs
@@ -10,8 +10,8 @@
 };
 
 use crate::{
-    AttemptError, AttemptHeaders, Attempts, EntryContext, Event, Rejection, ResponseAborted,
-    ResponseBody, ResponseHead, RunStatus, UpstreamId, WorkEnd,
+    AttemptError, AttemptHeaders, Attempts, CrashLedger, EntryContext, Event, Rejection,
+    ResponseAborted, ResponseBody, ResponseHead, RunStatus, UpstreamId, WorkEnd,
     admitted_request::AdmittedRequest,
     engine_finder::{DEFAULT_RETRY_AFTER, EngineFinder, PlacementError},
     event_reader::{EventError, EventReader, StreamItem},
@@ -41,6 +41,15 @@
     reader: EventReader,
     connection: UpstreamConnection,
     head: ResponseHead,
+    first_event_at: Instant,
+}
+
+impl UpstreamStream {
+    /// Whether the request may still crash its engine.
+    fn is_unproven(&self) -> bool {
+        let age_ms = self.first_event_at.elapsed().as_secs_f64() * 1e3;
+        CrashLedger::is_unproven(age_ms, Some(0.0))
+    }
 }
 
 /// Sender of the chunks of a streamed response body.
@@ -137,17 +146,20 @@
                 Ok(placement) => placement,
                 Err(e) => return Err(self.rejection(&e)),
             };
-            let upstream = placement.upstream.id.clone();
-            self.current_engine = Some(upstream.clone());
+            let upstream = Arc::clone(&placement.upstream);
+            self.current_engine = Some(upstream.id.clone());
             match self.attempt(placement).await {
                 Ok(AttemptOutcome::Response(parts, body)) => {
                     self.attempts.note_failure(RunStatus::MayHaveRun);
-                    self.finder.exclude(upstream);
+                    self.finder.exclude(upstream.id.clone());
                     return Ok(AttemptOutcome::Response(parts, body));
                 }
                 Ok(outcome) => return Ok(outcome),
                 Err(e) => {
                     self.record_failed_attempt(&e);
+                    if e.disconnected {
+                        self.entry.note_disconnected(&self.request, &upstream).await;
+                    }
                     if !self.may_retry() {
                         return Err(self.rejection(&PlacementError::Refused(DEFAULT_RETRY_AFTER)));
                     }
@@ -196,14 +208,12 @@
                 return Err(e);
             }
         };
-        let failed =
-            |step, cause| AttemptError::new(step, &upstream.id, RunStatus::MayHaveRun, cause);
         if response.parts.status != StatusCode::OK {
             let collected = response
                 .collect(&self.entry.client.pool, self.request.time_left())
                 .await;
             placement.close(WorkEnd::Failed);
-            let (parts, body) = collected.map_err(|cause| failed("read answer", cause))?;
+            let (parts, body) = collected.map_err(|e| e.into_attempt_error(&upstream.id))?;
             return Ok(AttemptOutcome::Response(parts, body));
         }
         let UpstreamResponse {
@@ -221,7 +231,7 @@
             Ok(first_item) => first_item,
             Err(cause) => {
                 placement.close(cause.work_end());
-                return Err(failed("await first event", cause.to_string()));
+                return Err(cause.into_attempt_error("await first event", &upstream.id));
             }
         };
         placement.note_first_event();
@@ -230,6 +240,7 @@
             reader,
             connection,
             head,
+            first_event_at: Instant::now(),
         };
         Ok(AttemptOutcome::Stream(parts, Box::new(stream), first_item))
     }
@@ -262,7 +273,8 @@
         spdlog::info!("attempt failed", kv: {
             request: = self.request.head.id, upstream: = e.upstream, step = e.step, may_have_run = e.ran.may_have_run(),
             cause = e.cause.as_str(), events = self.forwarded_events,
-            prompt_parts = self.request.head.prompt_parts_text().as_str()
+            prompt_parts = self.request.head.prompt_parts_text().as_str(),
+            fingerprint = self.request.fingerprint_text(e).as_str()
         });
     }
 
@@ -415,13 +427,21 @@
         end: WorkEnd,
         cause: String,
     ) -> Option<(UpstreamStream, StreamItem)> {
-        let upstream = stream.placement.upstream.id.clone();
-        let e = AttemptError::new("read event", &upstream, RunStatus::MayHaveRun, cause);
+        let upstream = Arc::clone(&stream.placement.upstream);
         let in_time = !self.request.time_left().is_zero();
+        let e = if end == WorkEnd::Disconnected && in_time {
+            AttemptError::new_disconnected("read event", &upstream.id, cause)
+        } else {
+            AttemptError::new("read event", &upstream.id, RunStatus::MayHaveRun, cause)
+        };
+        let is_unproven = stream.is_unproven();
         stream
             .placement
             .close(if in_time { end } else { WorkEnd::Cancelled });
         self.record_failed_attempt(&e);
+        if e.disconnected && is_unproven {
+            self.entry.note_disconnected(&self.request, &upstream).await;
+        }
         if !self.all_events_numbered || !self.may_retry() {
             self.entry.metrics.count_aborted_stream();
             self.log_end("broken off", 200);
--- a/crates/oleanderpost-serving/src/upstream_client.rs
+++ b/crates/oleanderpost-serving/src/upstream_client.rs
@@ -1,6 +1,6 @@
 //! [`UpstreamClient`].
 
-use std::{sync::Arc, time::Duration};
+use std::{io::ErrorKind, sync::Arc, time::Duration};
 
 use http::StatusCode;
 use http_body_util::{BodyExt, Limited};
@@ -84,13 +84,10 @@
                 "timed out while waiting for the response",
             )
         })?;
-        let resp = sent.map_err(|e| {
-            let ran = if e.is_canceled() {
-                RunStatus::NotRun
-            } else {
-                RunStatus::MayHaveRun
-            };
-            AttemptError::new("send", &upstream.id, ran, e)
+        let resp = sent.map_err(|e| match e {
+            e if e.is_canceled() => AttemptError::new("send", &upstream.id, RunStatus::NotRun, e),
+            e if e.is_parse() => AttemptError::new("send", &upstream.id, RunStatus::MayHaveRun, e),
+            e => AttemptError::new_disconnected("send", &upstream.id, e),
         })?;
         self.reach.note_response();
         let (parts, body) = resp.into_parts();
@@ -211,6 +208,14 @@
         });
     }
 
+    /// Whether an upstream that has just broken off a request refuses connections, which means that its process is
+    /// gone; a lost path to all upstreams would look the same.
+    pub(crate) async fn has_crashed(&self, upstream: &Upstream) -> bool {
+        let probed = self.pool.probe(upstream).await;
+        let is_refused = probed.is_err_and(|e| e.kind() == ErrorKind::ConnectionRefused);
+        is_refused && !self.reach.check(&self.state).await
+    }
+
     /// Returns a connection to the pool after its response has been read completely.
     pub(crate) fn release(&self, connection: UpstreamConnection, keep_alive: Option<Duration>) {
         self.pool.release(connection, keep_alive);
--- a/crates/oleanderpost-serving/src/upstream_pool.rs
+++ b/crates/oleanderpost-serving/src/upstream_pool.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -20,6 +21,9 @@
 
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
+/// Time limit for the connection that shows whether an upstream accepts any. Callers wait for it; within a region a
+/// connection opens in a few milliseconds.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
 /// How long an idle connection is kept if the upstream states no keep-alive time.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Share of the keep-alive time stated by the upstream for which an idle connection is kept.
@@ -78,7 +82,15 @@
                 return Ok(connection);
             }
         }
-        self.connect(upstream).await
+        let connected = self.connect(upstream, CONNECT_TIMEOUT).await;
+        connected.map_err(|e| e.to_string())
+    }
+
+    /// Opens a connection to see whether the upstream accepts any, and keeps it for later requests.
+    pub(crate) async fn probe(&self, upstream: &Upstream) -> io::Result<()> {
+        let connection = self.connect(upstream, PROBE_TIMEOUT).await?;
+        self.release(connection, None);
+        Ok(())
     }
 
     /// Returns a connection to the pool after its response has been read completely.
@@ -133,11 +145,15 @@
         None
     }
 
-    async fn connect(&self, upstream: &Upstream) -> Result<UpstreamConnection, String> {
-        let connected = timeout(CONNECT_TIMEOUT, connect(upstream.address)).await;
-        let sender = connected.map_err(|_| "timed out while connecting".to_owned())?;
+    async fn connect(
+        &self,
+        upstream: &Upstream,
+        limit: Duration,
+    ) -> io::Result<UpstreamConnection> {
+        let connected = timeout(limit, connect(upstream.address)).await;
+        let timed_out = |_| io::Error::new(io::ErrorKind::TimedOut, "timed out while connecting");
         Ok(UpstreamConnection {
-            sender: sender.map_err(|e| e.to_string())?,
+            sender: connected.map_err(timed_out)??,
             reused: false,
             id: upstream.id.clone(),
             address: upstream.address,
@@ -149,7 +165,7 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-async fn connect(address: SocketAddr) -> std::io::Result<SendRequest<Full<Bytes>>> {
+async fn connect(address: SocketAddr) -> io::Result<SendRequest<Full<Bytes>>> {
     let socket = if address.is_ipv4() {
         TcpSocket::new_v4()?
     } else {
@@ -158,7 +174,7 @@
     socket.set_nodelay(true)?;
     let stream = socket.connect(address).await?;
     let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
-    let (sender, connection) = handshake.map_err(std::io::Error::other)?;
+    let (sender, connection) = handshake.map_err(io::Error::other)?;
     tokio::spawn(async move {
         if let Err(e) = connection.await {
             spdlog::debug!("upstream connection closed with an error", kv: { address: = address, error: = e });
--- a/crates/oleanderpost-serving/src/upstream_response.rs
+++ b/crates/oleanderpost-serving/src/upstream_response.rs
@@ -8,12 +8,12 @@
     header::{CONNECTION, CONTENT_LENGTH, HeaderName, TRANSFER_ENCODING},
     response::Parts,
 };
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use crate::{
-    ResponseBody, ResponseHead,
+    AttemptError, ResponseBody, ResponseHead, RunStatus, UpstreamId,
     upstream_pool::{UpstreamConnection, UpstreamPool},
 };
 
@@ -27,6 +27,31 @@
     HeaderName::from_static("proxy-connection"),
 ];
 
+/// Error while reading the body of a response.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum BodyError {
+    /// The body did not end within the time limit.
+    #[error("timed out while reading the response body")]
+    TimedOut,
+    /// The body is larger than what is buffered.
+    #[error("{0}")]
+    TooLarge(String),
+    /// The connection failed, or the body is malformed.
+    #[error("{0}")]
+    Disconnected(String),
+}
+
+impl BodyError {
+    /// The error of an attempt at `upstream` that failed for this reason.
+    pub(crate) fn into_attempt_error(self, upstream: &UpstreamId) -> AttemptError {
+        const STEP: &str = "read answer";
+        match self {
+            Self::Disconnected(_) => AttemptError::new_disconnected(STEP, upstream, self),
+            _ => AttemptError::new(STEP, upstream, RunStatus::MayHaveRun, self),
+        }
+    }
+}
+
 /// Response of an upstream whose head has been received and whose body has not been read.
 pub(crate) struct UpstreamResponse {
     pub(crate) parts: Parts,
@@ -41,14 +66,18 @@
         self,
         pool: &UpstreamPool,
         limit: Duration,
-    ) -> Result<(Parts, Bytes), String> {
+    ) -> Result<(Parts, Bytes), BodyError> {
         let body = timeout(
             limit,
             Limited::new(self.body, MAX_BUFFERED_BODY_BYTES).collect(),
         )
         .await;
-        let body = body.map_err(|_| "timed out while reading the response body".to_owned())?;
-        let body = body.map_err(|e| e.to_string())?.to_bytes();
+        let body = body.map_err(|_| BodyError::TimedOut)?;
+        let body = body.map_err(|e| match e.is::<LengthLimitError>() {
+            true => BodyError::TooLarge(e.to_string()),
+            false => BodyError::Disconnected(e.to_string()),
+        })?;
+        let body = body.to_bytes();
         if !self.head.closes_connection {
             pool.release(self.connection, self.head.keep_alive);
         }
