Refuse requests that crash the upstreams that run them

Cause: a crash was put down to the upstream alone. Only parts of prompts were remembered, by the scheduler of engines; a request to a plain service has none, so nothing connected its repetitions.

Change: a node whose upstream breaks off a request and then refuses connections reports the crash, with the fingerprint of the request, to the scheduler's node and waits for its verdict before it retries. There RequestCrashLedger quarantines requests that were in progress at three crashes without a complete response since: five minutes, doubled by each further crash; two seconds as long as the crashes may have had another cause. A complete response to a suspect clears it. Verdicts go to all nodes at once and with the heartbeats; heartbeats also repeat recent crashes and quarantines, for a scheduler that takes over. A quarantined request gets 503 with the time left.

--- a/crates/oleanderpost-serving/src/admin_server.rs
+++ b/crates/oleanderpost-serving/src/admin_server.rs
@@ -30,7 +30,7 @@
     upstreams: Vec<String>,
     /// What upstreams state about themselves.
     signals: Vec<String>,
-    /// Prompt parts that crash engines.
+    /// Prompt parts and requests that crash upstreams.
     quarantines: Vec<String>,
     scheduler: String,
     nodes: usize,
@@ -123,6 +123,16 @@
         resp
     }
 
+    /// Descriptions of all quarantines.
+    fn quarantines(&self) -> Vec<String> {
+        let parts = self.scheduler_host.quarantines();
+        let requests = self.scheduler_host.crash_watch().verdicts().quarantines;
+        let descriptions = parts.iter().map(ToString::to_string);
+        descriptions
+            .chain(requests.iter().map(ToString::to_string))
+            .collect()
+    }
+
     fn metrics(&self) -> String {
         let state = &self.entry.state;
         let (waiting, placed) = self.scheduler_host.counts();
@@ -133,7 +143,7 @@
             upstreams: state.directory().ids().count(),
             store_era: state.position().era,
             limited_upstreams: state.signals().limited_count(),
-            quarantines: self.scheduler_host.quarantines().len(),
+            quarantines: self.quarantines().len(),
             in_progress: self.entry.in_progress(),
             waiting,
             placed,
@@ -144,7 +154,6 @@
     fn dump(&self) -> String {
         let state = &self.entry.state;
         let (scheduler_waiting, scheduler_placed) = self.scheduler_host.counts();
-        let quarantines = self.scheduler_host.quarantines();
         let dump = Dump {
             ready: state.is_ready(),
             draining: state.active_drain().is_some(),
@@ -153,7 +162,7 @@
             in_progress: self.entry.in_progress(),
             upstreams: state.directory().ids().map(ToString::to_string).collect(),
             signals: state.signals().describe(BootTime::now()),
-            quarantines: quarantines.iter().map(ToString::to_string).collect(),
+            quarantines: self.quarantines(),
             scheduler: self.entry.scheduler.leader().to_string(),
             nodes: self.entry.scheduler.nodes(),
             scheduler_waiting,
--- a/crates/oleanderpost-serving/src/buffered_proxy.rs
+++ b/crates/oleanderpost-serving/src/buffered_proxy.rs
@@ -64,7 +64,11 @@
                     return self.finish_failed(None).await;
                 }
             };
-            match self.attempt(&upstream).await {
+            let attempt = self.attempt(&upstream).await;
+            if attempt.is_ok() {
+                self.entry.note_sound(self.request);
+            }
+            match attempt {
                 Ok(response) if response.parts.status.is_server_error() => {
                     self.attempts.note_failure(RunStatus::MayHaveRun);
                     self.tried_upstreams.push(upstream.id.clone());
@@ -192,7 +196,8 @@
             if self.attempts.may_have_run == 0 && self.entry.must_not_dispatch(self.request) {
                 Rejection::NotReady
             } else if self.attempts.may_have_run == 0 {
-                Rejection::Busy(self.retry_after)
+                let quarantine_left = self.entry.quarantine_left(self.request);
+                quarantine_left.map_or(Rejection::Busy(self.retry_after), Rejection::Quarantined)
             } else if self.request.time_left().is_zero() {
                 Rejection::TimedOut
             } else {
--- a/crates/oleanderpost-serving/src/crash_ledger.rs
+++ b/crates/oleanderpost-serving/src/crash_ledger.rs
@@ -8,15 +8,15 @@
 /// lost its engine is sent to another one.
 const MIN_INCIDENTS: usize = 3;
 /// Crashes within this time after the first one are one incident, such as the loss of a rack.
-const INCIDENT_MS: f64 = 100.0;
+pub(crate) const INCIDENT_MS: f64 = 100.0;
 /// Time without a crash after its first event for which a request must run to count as sound.
 const SOUND_AFTER_MS: f64 = 150.0;
 /// Time for which messages from before a crash may still arrive.
 const MESSAGE_DELAY_MS: f64 = 100.0;
 /// Duration of the first quarantine of parts. Each further incident doubles it.
-const QUARANTINE_MS: f64 = 300_000.0;
+pub(crate) const QUARANTINE_MS: f64 = 300_000.0;
 /// Longest quarantine, an hour.
-const MAX_QUARANTINE_MS: f64 = 3_600_000.0;
+pub(crate) const MAX_QUARANTINE_MS: f64 = 3_600_000.0;
 /// Time for which a crash is remembered. Longer than any quarantine, so that one more crash renews it.
 const CRASH_TTL_MS: f64 = 2.0 * MAX_QUARANTINE_MS;
 /// Maximum number of remembered crashes.
--- a/crates/oleanderpost-serving/src/entry_context.rs
+++ b/crates/oleanderpost-serving/src/entry_context.rs
@@ -123,6 +123,7 @@
         let is_relayed = attempts.may_have_run == 0 && self.reach.is_lost();
         !is_relayed
             && !self.must_not_dispatch(request)
+            && self.quarantine_left(request).is_none()
             && self.retry_policy.allows(
                 request.route.retry_terms(),
                 &request.service,
@@ -133,7 +134,8 @@
             )
     }
 
-    /// Finds out whether an upstream that has just broken off the request has crashed.
+    /// Finds out whether an upstream that has just broken off the request has crashed, and whether the request may be
+    /// sent again then.
     pub(crate) async fn note_disconnected(&self, request: &AdmittedRequest, upstream: &Upstream) {
         if !self.client.has_crashed(upstream).await {
             return;
@@ -144,6 +146,24 @@
                 started_at = upstream.started_at.unwrap_or(0)
             });
         }
+        let fingerprint = request.fingerprint();
+        self.scheduler.report_crash(fingerprint, upstream).await;
+    }
+
+    /// Records a complete response to the request, or that it runs for long enough not to crash its upstream.
+    pub(crate) fn note_sound(&self, request: &AdmittedRequest) {
+        if !self.scheduler.crash_watch().is_idle() {
+            self.scheduler.note_sound(request.fingerprint());
+        }
+    }
+
+    /// Time for which the request is refused because it crashes upstreams.
+    pub(crate) fn quarantine_left(&self, request: &AdmittedRequest) -> Option<Duration> {
+        let watch = self.scheduler.crash_watch();
+        if watch.is_idle() {
+            return None;
+        }
+        watch.quarantine_left(request.fingerprint())
     }
 
     /// Whether the request must not be sent to any upstream now: its API key may have been revoked, since the
--- a/crates/oleanderpost-serving/src/lib.rs
+++ b/crates/oleanderpost-serving/src/lib.rs
@@ -33,6 +33,7 @@
 mod candidate;
 mod change_log;
 mod crash_ledger;
+mod crash_watch;
 mod decision;
 mod discovery;
 mod discovery_source;
@@ -74,11 +75,15 @@
 mod queued_work;
 mod recent_maximum;
 mod rejection;
+mod request_crash;
+mod request_crash_ledger;
 mod request_fingerprint;
 mod request_handler;
 mod request_head;
 mod request_limiter;
+mod request_quarantine;
 mod request_rate;
+mod request_verdicts;
 mod reservations;
 mod response_body;
 mod response_head;
@@ -124,6 +129,7 @@
     caller_limits::CallerLimits,
     caller_server::CallerServer,
     crash_ledger::CrashLedger,
+    crash_watch::CrashWatch,
     decision::Decision,
     discovery::Discovery,
     discovery_source::{DiscoveryError, DiscoverySource, DiscoveryUpdate, UpstreamChange},
@@ -150,11 +156,15 @@
     plain_balancer::PlainBalancer,
     quarantine::Quarantine,
     rejection::Rejection,
+    request_crash::RequestCrash,
+    request_crash_ledger::RequestCrashLedger,
     request_fingerprint::{InvalidFingerprint, RequestFingerprint},
     request_handler::RequestHandler,
     request_head::RequestHead,
     request_limiter::RequestLimiter,
+    request_quarantine::RequestQuarantine,
     request_rate::{InvalidRate, RequestRate},
+    request_verdicts::RequestVerdicts,
     response_body::{ResponseAborted, ResponseBody},
     response_head::{ResponseHead, UpstreamLoad},
     retry_budget::RetryBudget,
--- a/crates/oleanderpost-serving/src/node.rs
+++ b/crates/oleanderpost-serving/src/node.rs
@@ -260,6 +260,13 @@
             }
             return None;
         }
+        if let SchedulerMessage::RequestVerdicts { verdicts } = &msg {
+            let client = self.client.get().and_then(std::sync::Weak::upgrade);
+            if let Some(client) = client {
+                client.apply_verdicts(from, verdicts);
+            }
+            return None;
+        }
         if msg == SchedulerMessage::AskState {
             let state = self.state.state_for_peers().map(Box::new);
             return Some(SchedulerMessage::State { state });
--- a/crates/oleanderpost-serving/src/node_gauges.rs
+++ b/crates/oleanderpost-serving/src/node_gauges.rs
@@ -19,7 +19,7 @@
     pub(crate) store_era: u64,
     /// Number of upstreams that limit their requests.
     pub(crate) limited_upstreams: usize,
-    /// Number of quarantines of prompt parts that crash engines.
+    /// Number of quarantines of prompt parts and requests that crash upstreams.
     pub(crate) quarantines: usize,
     /// Number of requests in progress.
     pub(crate) in_progress: usize,
@@ -61,7 +61,7 @@
         let limited_upstreams = gauge("limited_upstreams", "Upstreams that limit their requests");
         let quarantines = gauge(
             "quarantines",
-            "Quarantines of prompt parts that crash engines",
+            "Quarantines of prompt parts and requests that crash upstreams",
         );
         let in_progress = gauge("requests_in_progress", "Requests in progress");
         let waiting = gauge("scheduler_waiting", "Requests that wait for an engine here");
--- a/crates/oleanderpost-serving/src/rejection.rs
+++ b/crates/oleanderpost-serving/src/rejection.rs
@@ -33,6 +33,8 @@
     NotReady,
     /// A peer has relayed the request to this node, which can't serve it either. The request did not run.
     NoRelay,
+    /// The request crashes the upstreams that run it. It did not run now; a retry makes sense after this time.
+    Quarantined(Duration),
     /// Upstreams failed; the request may have run.
     UpstreamFailed,
     /// The time limit passed; the request may have run.
@@ -49,7 +51,9 @@
             Self::SlowCaller => StatusCode::REQUEST_TIMEOUT,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
-            Self::Busy(_) | Self::Draining | Self::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Busy(_) | Self::Draining | Self::NotReady | Self::Quarantined(_) => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::NoRelay => StatusCode::MISDIRECTED_REQUEST,
             Self::UpstreamFailed => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -69,6 +73,7 @@
             Self::Draining => "draining",
             Self::NotReady => "not_ready",
             Self::NoRelay => "no_relay",
+            Self::Quarantined(_) => "quarantined",
             Self::UpstreamFailed => "upstream_failed",
             Self::TimedOut => "timed_out",
         }
@@ -78,7 +83,7 @@
     #[must_use]
     pub fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::Busy(wait) => Some(wait.max(MIN_RETRY_AFTER)),
+            Self::Busy(wait) | Self::Quarantined(wait) => Some(wait.max(MIN_RETRY_AFTER)),
             Self::Draining => Some(MIN_RETRY_AFTER),
             Self::NotReady => Some(Duration::from_millis(500)),
             _ => None,
--- a/crates/oleanderpost-serving/src/request_handler.rs
+++ b/crates/oleanderpost-serving/src/request_handler.rs
@@ -49,6 +49,9 @@
             }
             Err(rejection) => return self.reject(&parts, rejection),
         };
+        if let Some(left) = self.entry.quarantine_left(&request) {
+            return self.reject_quarantined(&request, left);
+        }
         if self.entry.reach.is_lost() && request.head.relayed {
             return self.reject(&parts, Rejection::NoRelay);
         }
@@ -175,6 +178,23 @@
         Ok((buf.freeze(), allocation))
     }
 
+    /// Rejects a request that crashes upstreams, and logs which one.
+    fn reject_quarantined(
+        &self,
+        request: &AdmittedRequest,
+        left: Duration,
+    ) -> Response<ResponseBody> {
+        let rejection = Rejection::Quarantined(left);
+        self.entry.metrics.count_rejection(rejection);
+        if self.entry.may_log() {
+            spdlog::info!("request not admitted", kv: {
+                request: = request.head.id, reason = rejection.name(), status = rejection.status().as_u16(),
+                version = request.config_version, fingerprint: = request.fingerprint(), left_ms = left.as_millis() as u64
+            });
+        }
+        rejection.response()
+    }
+
     /// Builds the response to a rejected request, and logs and counts the rejection.
     fn reject(&self, parts: &http::request::Parts, rejection: Rejection) -> Response<ResponseBody> {
         self.entry.metrics.count_rejection(rejection);
--- a/crates/oleanderpost-serving/src/scheduler_client.rs
+++ b/crates/oleanderpost-serving/src/scheduler_client.rs
@@ -1,7 +1,7 @@
 //! [`SchedulerClient`].
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, VecDeque},
     net::SocketAddr,
     sync::{
         Arc, Mutex, PoisonError,
@@ -17,10 +17,10 @@
 };
 
 use crate::{
-    BootTime, Decision, DecisionSink, Grant, HeldWork, Lease, NodeState, PeerChanges, PeerLink,
-    PeerState, PeerStateSource, SchedulerHost, SchedulerMessage, ServiceName, SignalVersion,
-    StorePosition, UpstreamId, Work, WorkEnd, WorkId, engine_finder::DEFAULT_RETRY_AFTER,
-    lease_owner::LeaseOwner,
+    BootTime, CrashWatch, Decision, DecisionSink, Grant, HeldWork, Lease, NodeState, PeerChanges,
+    PeerLink, PeerState, PeerStateSource, RequestCrash, RequestFingerprint, RequestVerdicts,
+    SchedulerHost, SchedulerMessage, ServiceName, SignalVersion, StorePosition, Upstream,
+    UpstreamId, Work, WorkEnd, WorkId, engine_finder::DEFAULT_RETRY_AFTER, lease_owner::LeaseOwner,
 };
 
 /// Timeout for the reply to a submitted request. The latency between two data centres is about one
@@ -34,6 +34,11 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// Number of nodes from which on only the seeds read the discovery store all the time.
 const FOLLOWING_MIN_NODES: usize = 24;
+/// Time for which each heartbeat repeats a crash, so that a scheduler which takes over learns of it. Callers repeat
+/// requests within seconds.
+const CRASH_REPORT_TTL: Duration = Duration::from_secs(60);
+/// Maximum number of crashes that heartbeats repeat.
+const MAX_CRASH_REPORTS: usize = 64;
 /// Time for which a scheduler that did not reply is skipped.
 const SKIP_TIME: Duration = Duration::from_millis(700);
 
@@ -52,6 +57,22 @@
     skipped_until: HashMap<VmId, Instant>,
     /// Signals of upstreams received from each scheduler.
     seen_signals: HashMap<VmId, SignalVersion>,
+    /// Recent crashes that this node has seen, oldest first.
+    crashes: VecDeque<(BootTime, RequestCrash)>,
+}
+
+impl ClientState {
+    /// The recent crashes with their ages.
+    fn recent_crashes(&mut self) -> Vec<RequestCrash> {
+        let now = BootTime::now();
+        self.crashes
+            .retain(|(at, _)| now.since(*at) <= CRASH_REPORT_TTL);
+        let crashes = self.crashes.iter().map(|(at, crash)| RequestCrash {
+            age_ms: now.since(*at).as_secs_f64() * 1e3,
+            ..crash.clone()
+        });
+        crashes.collect()
+    }
 }
 
 /// Obtains placements from the scheduler of the fleet.
@@ -227,6 +248,65 @@
         }
     }
 
+    /// Requests that crash upstreams.
+    pub(crate) fn crash_watch(&self) -> &CrashWatch {
+        self.host.crash_watch()
+    }
+
+    /// Reports that an upstream crashed while it had a request, and waits until this node knows whether the request
+    /// may be sent again.
+    pub async fn report_crash(&self, request: RequestFingerprint, upstream: &Upstream) {
+        let crash = RequestCrash {
+            request,
+            upstream: upstream.id.clone(),
+            started_at: upstream.started_at,
+            age_ms: 0.0,
+        };
+        {
+            let mut state = self.lock();
+            if state.crashes.len() >= MAX_CRASH_REPORTS {
+                state.crashes.pop_front();
+            }
+            state.crashes.push_back((BootTime::now(), crash));
+        }
+        loop {
+            let to = self.leader();
+            let crashes = self.lock().recent_crashes();
+            let msg = SchedulerMessage::RequestCrashes { crashes };
+            match self.exchange(&to, msg, SUBMIT_TIMEOUT).await {
+                Some(SchedulerMessage::RequestVerdicts { verdicts }) => {
+                    return self.apply_verdicts(&to, &verdicts);
+                }
+                _ if to == self.own_id => return,
+                _ => self.skip_scheduler(&to),
+            }
+        }
+    }
+
+    /// Records that a complete response to the request has arrived.
+    pub fn note_sound(&self, request: RequestFingerprint) {
+        if !self.crash_watch().is_watched(request) {
+            return;
+        }
+        let mut state = self.lock();
+        state.crashes.retain(|(_, crash)| crash.request != request);
+        drop(state);
+        let to = self.leader();
+        if to != self.own_id {
+            self.crash_watch().remove_suspect(request);
+            self.crash_watch().note_sound(&[request]);
+        }
+        let requests = vec![request];
+        self.send_to(&to, SchedulerMessage::SoundRequests { requests });
+    }
+
+    /// Applies what the node `from` says of requests that crash upstreams, if its scheduler is in use.
+    pub fn apply_verdicts(&self, from: &VmId, verdicts: &RequestVerdicts) {
+        if *from != self.own_id && *from == self.leader() {
+            self.crash_watch().replace_learned(verdicts);
+        }
+    }
+
     /// Sends what this node has learned about upstreams to the scheduler in use.
     pub fn send_signals(&self) {
         let signals = self.node_state.signals().take_unsent(BootTime::now());
@@ -265,6 +345,8 @@
                 seen,
                 signals,
                 quarantines: self.host.quarantines(),
+                request_quarantines: self.crash_watch().verdicts().quarantines,
+                request_crashes: self.lock().recent_crashes(),
                 relay_address: self.relay_address(),
             };
             let reply = self.exchange(&seed, heartbeat, HEARTBEAT_TIMEOUT).await;
@@ -279,6 +361,7 @@
                 signals,
                 version,
                 quarantines,
+                verdicts,
                 relays,
             } = reply
             else {
@@ -293,6 +376,7 @@
             *self.relays.lock().unwrap_or_else(PoisonError::into_inner) = relays;
             if seed != self.own_id {
                 self.host.replace_quarantines(&quarantines);
+                self.crash_watch().replace_learned(&verdicts);
             }
             self.node_state.apply_signals(&seed, &signals);
             if seen.start_id != version.start_id {
@@ -553,6 +637,18 @@
 }
 
 impl DecisionSink for DecisionRouter {
+    fn announce(&self, node: &VmId, verdicts: &RequestVerdicts) {
+        let Some(client) = self.client.upgrade() else {
+            return;
+        };
+        if *node != client.own_id {
+            let verdicts = verdicts.clone();
+            client
+                .link
+                .send(node, &SchedulerMessage::RequestVerdicts { verdicts });
+        }
+    }
+
     fn deliver(&self, node: &VmId, id: WorkId, decision: Decision) {
         let Some(client) = self.client.upgrade() else {
             return;
--- a/crates/oleanderpost-serving/src/scheduler_host.rs
+++ b/crates/oleanderpost-serving/src/scheduler_host.rs
@@ -18,9 +18,9 @@
 };
 
 use crate::{
-    BootTime, CrashLedger, DataCentreName, Decision, HeldWork, LogRateLimiter, Quarantine,
-    RequestLimiter, RequestRate, Scheduler, SchedulerMessage, ServiceName, ServingConfig,
-    SignalTable, SignalVersion, UpstreamDirectory, UpstreamId, WorkId,
+    BootTime, CrashLedger, CrashWatch, DataCentreName, Decision, HeldWork, LogRateLimiter,
+    Quarantine, RequestLimiter, RequestRate, RequestVerdicts, Scheduler, SchedulerMessage,
+    ServiceName, ServingConfig, SignalTable, SignalVersion, UpstreamDirectory, UpstreamId, WorkId,
     recent_maximum::RecentMaximum,
 };
 
@@ -43,10 +43,13 @@
 /// Number of relays named to a node; the next heartbeat names others.
 const MAX_RELAYS: usize = 4;
 
-/// Delivers decisions about requests that had to wait.
+/// Delivers decisions about requests that had to wait, and news about requests that crash upstreams.
 pub trait DecisionSink: Send + Sync {
     /// Delivers a decision to the node that submitted the request.
     fn deliver(&self, node: &VmId, id: WorkId, decision: Decision);
+
+    /// Tells a node which requests crash upstreams.
+    fn announce(&self, node: &VmId, verdicts: &RequestVerdicts);
 }
 
 #[derive(Debug, Default)]
@@ -84,6 +87,7 @@
     round_due: Notify,
     log_limiter: LogRateLimiter,
     fleet_size: Mutex<RecentMaximum>,
+    crash_watch: CrashWatch,
 }
 
 impl Default for SchedulerHost {
@@ -105,14 +109,37 @@
             round_due: Notify::new(),
             log_limiter: LogRateLimiter::new(BootTime::now()),
             fleet_size: Mutex::new(RecentMaximum::new(FLEET_SIZE_WINDOW)),
+            crash_watch: CrashWatch::new(),
         }
     }
 
-    /// Sets the sink for decisions about waiting requests.
+    /// Sets the sink for decisions about waiting requests, and for news about requests that crash upstreams.
     pub fn set_sink(&self, sink: Arc<dyn DecisionSink>) {
         *self.sink.lock().unwrap_or_else(PoisonError::into_inner) = Some(sink);
     }
 
+    /// Requests that crash upstreams.
+    #[must_use]
+    pub fn crash_watch(&self) -> &CrashWatch {
+        &self.crash_watch
+    }
+
+    /// Tells all nodes which requests crash upstreams, if that has changed; returns it.
+    fn announce(&self, (verdicts, has_changed): (RequestVerdicts, bool)) -> RequestVerdicts {
+        if has_changed && let Some(sink) = self.sink() {
+            let nodes: Vec<VmId> = self.lock().last_seen.keys().cloned().collect();
+            for node in nodes {
+                sink.announce(&node, &verdicts);
+            }
+        }
+        verdicts
+    }
+
+    fn sink(&self) -> Option<Arc<dyn DecisionSink>> {
+        let sink = self.sink.lock().unwrap_or_else(PoisonError::into_inner);
+        sink.clone()
+    }
+
     /// Stops scheduling for other nodes; requests of this node are still scheduled.
     pub fn stop_serving(&self) {
         self.stopped.store(true, Ordering::Release);
@@ -293,9 +320,21 @@
                 upstream,
                 max_wait_ms,
             } => Some(Self::decide_permit(&mut state, now, &upstream, max_wait_ms)),
+            SchedulerMessage::RequestCrashes { crashes } => {
+                drop(state);
+                let verdicts = self.announce(self.crash_watch.note_crashes(&crashes));
+                Some(SchedulerMessage::RequestVerdicts { verdicts })
+            }
+            SchedulerMessage::SoundRequests { requests } => {
+                drop(state);
+                self.announce(self.crash_watch.note_sound(&requests));
+                None
+            }
             SchedulerMessage::Heartbeat {
                 ids,
                 quarantines,
+                request_quarantines,
+                request_crashes,
                 relay_address,
                 ..
             } => {
@@ -305,8 +344,16 @@
                 };
                 if !local {
                     learn_quarantines(&mut state, now, &quarantines);
+                    self.crash_watch.learn(&request_quarantines);
                 }
-                Some(reply_to_heartbeat(&mut state, now, from, &ids))
+                let reply = reply_to_heartbeat(&mut state, now, from, &ids);
+                drop(state);
+                let verdicts = if request_crashes.is_empty() {
+                    self.crash_watch.verdicts()
+                } else {
+                    self.announce(self.crash_watch.note_crashes(&request_crashes))
+                };
+                Some(reply.with_verdicts(verdicts))
             }
             SchedulerMessage::Adopt { held } => {
                 adopt(&mut state, now, from, &held);
@@ -315,6 +362,7 @@
             SchedulerMessage::Decided { .. }
             | SchedulerMessage::NotServing
             | SchedulerMessage::HeartbeatReply { .. }
+            | SchedulerMessage::RequestVerdicts { .. }
             | SchedulerMessage::Signals { .. }
             | SchedulerMessage::Permit { .. }
             | SchedulerMessage::AskChanges { .. }
@@ -337,6 +385,7 @@
             sleep(self.until_next_round()).await;
             self.remove_silent_nodes();
             self.log_quarantines();
+            self.crash_watch.log_changes();
             if let Some(lines) = self.log_limiter.take_suppressed(BootTime::now()) {
                 spdlog::warn!("log lines about placements suppressed by the rate limit", kv: { lines });
             }
@@ -470,12 +519,7 @@
             .last_round
             .lock()
             .unwrap_or_else(PoisonError::into_inner) = Some(round);
-        let sink = self
-            .sink
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone();
-        let Some(sink) = sink else {
+        let Some(sink) = self.sink() else {
             return;
         };
         for (node, id, decision) in decisions {
@@ -536,6 +580,7 @@
         signals: Vec::new(),
         version: SignalVersion::default(),
         quarantines: quarantines(state, now),
+        verdicts: RequestVerdicts::default(),
         relays,
     }
 }
--- a/crates/oleanderpost-serving/src/scheduler_message.rs
+++ b/crates/oleanderpost-serving/src/scheduler_message.rs
@@ -6,8 +6,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Decision, PeerChanges, PeerEvidence, PeerState, Quarantine, ServiceName, SignalVersion,
-    UpstreamId, UpstreamSignal, Work, WorkEnd, WorkId,
+    Decision, PeerChanges, PeerEvidence, PeerState, Quarantine, RequestCrash, RequestFingerprint,
+    RequestQuarantine, RequestVerdicts, ServiceName, SignalVersion, UpstreamId, UpstreamSignal,
+    Work, WorkEnd, WorkId,
 };
 
 /// A placement as recorded by its node.
@@ -73,6 +74,12 @@
         /// Parts of prompts that crash engines, for a scheduler that does not know them yet.
         #[serde(default)]
         quarantines: Vec<Quarantine>,
+        /// Requests that crash upstreams, for a scheduler that does not know them yet.
+        #[serde(default)]
+        request_quarantines: Vec<RequestQuarantine>,
+        /// Recent crashes that the sender has seen itself, again in case the scheduler is another one.
+        #[serde(default)]
+        request_crashes: Vec<RequestCrash>,
         /// Address for requests that peers relay; `None` if the sender accepts none.
         #[serde(default)]
         relay_address: Option<SocketAddr>,
@@ -96,10 +103,28 @@
         /// All parts of prompts that crash engines.
         #[serde(default)]
         quarantines: Vec<Quarantine>,
+        /// Requests that crash upstreams, or may do so.
+        #[serde(default)]
+        verdicts: RequestVerdicts,
         /// Addresses of some peers that accept relayed requests.
         #[serde(default)]
         relays: Vec<SocketAddr>,
     },
+    /// Reports upstreams that crashed while they had a request.
+    RequestCrashes {
+        /// The crashes.
+        crashes: Vec<RequestCrash>,
+    },
+    /// Reply to [`RequestCrashes`](Self::RequestCrashes), or news from the scheduler's node.
+    RequestVerdicts {
+        /// Requests that crash upstreams, or may do so.
+        verdicts: RequestVerdicts,
+    },
+    /// Complete responses to suspect requests have arrived.
+    SoundRequests {
+        /// The requests.
+        requests: Vec<RequestFingerprint>,
+    },
     /// Signals of upstreams that the sender has learned from their responses.
     Signals {
         /// The signals.
@@ -146,6 +171,16 @@
     },
 }
 
+impl SchedulerMessage {
+    /// Adds verdicts to a reply to a heartbeat.
+    pub(crate) fn with_verdicts(mut self, new: RequestVerdicts) -> Self {
+        if let Self::HeartbeatReply { verdicts, .. } = &mut self {
+            *verdicts = new;
+        }
+        self
+    }
+}
+
 impl MessageKind for SchedulerMessage {
     fn kind(&self) -> &'static str {
         match self {
@@ -156,6 +191,9 @@
             Self::Ended { .. } => "ended",
             Self::Heartbeat { .. } => "attend",
             Self::HeartbeatReply { .. } => "attended",
+            Self::RequestCrashes { .. } => "request_crashes",
+            Self::RequestVerdicts { .. } => "request_verdicts",
+            Self::SoundRequests { .. } => "sound_requests",
             Self::Signals { .. } => "signals",
             Self::AskPermit { .. } => "ask_permit",
             Self::Permit { .. } => "permit",
--- a/crates/oleanderpost-serving/src/stream_proxy.rs
+++ b/crates/oleanderpost-serving/src/stream_proxy.rs
@@ -150,6 +150,7 @@
             self.current_engine = Some(upstream.id.clone());
             match self.attempt(placement).await {
                 Ok(AttemptOutcome::Response(parts, body)) => {
+                    self.entry.note_sound(&self.request);
                     self.attempts.note_failure(RunStatus::MayHaveRun);
                     self.finder.exclude(upstream.id.clone());
                     return Ok(AttemptOutcome::Response(parts, body));
@@ -175,6 +176,9 @@
             }
             _ if self.attempts.may_have_run > 0 => Rejection::UpstreamFailed,
             _ if self.entry.must_not_dispatch(&self.request) => Rejection::NotReady,
+            _ if let Some(left) = self.entry.quarantine_left(&self.request) => {
+                Rejection::Quarantined(left)
+            }
             PlacementError::Refused(retry_after) => Rejection::Busy(*retry_after),
             PlacementError::DeadlineExceeded => Rejection::Busy(DEFAULT_RETRY_AFTER),
         }
@@ -308,6 +312,9 @@
                 Ok(StreamItem::Event(event)) => match self.forward_event(event, &body_sender).await
                 {
                     ForwardResult::Forwarded => {
+                        if !stream.is_unproven() {
+                            self.entry.note_sound(&self.request);
+                        }
                         next = tokio::select! {
                             biased;
                             next = self.next_event(&mut stream) => next,
@@ -464,6 +471,7 @@
     }
 
     async fn finish(self, stream: UpstreamStream, body_sender: &BodySender) {
+        self.entry.note_sound(&self.request);
         let UpstreamStream {
             placement,
             connection,
--- a/crates/oleanderpost-serving/tests/scheduler_client.rs
+++ b/crates/oleanderpost-serving/tests/scheduler_client.rs
@@ -302,6 +302,8 @@
         seen: SignalVersion::default(),
         signals: Vec::new(),
         quarantines: Vec::new(),
+        request_quarantines: Vec::new(),
+        request_crashes: Vec::new(),
         relay_address: None,
     };
     assert!(matches!(
@@ -316,6 +318,8 @@
         seen: SignalVersion::default(),
         signals: Vec::new(),
         quarantines: Vec::new(),
+        request_quarantines: Vec::new(),
+        request_crashes: Vec::new(),
         relay_address: None,
     };
     assert!(matches!(
