Count crashes during streams that have sent events against their request

Callers: a stream that crashes its engine some time after the first event was resumed on the next engine and crashed that too, and so did each repetition.

Cause: a request counted as sound 150 ms after its first event, so that its crashes were no evidence. That bound is right for parts of prompts, which the sound requests on the engine share, not for one request.

Change: each break of a stream whose engine is gone counts, and only a complete response clears a request.

Ruled out: harm to sound streams that are in progress at crashes of other cause; a test with a popular one passes before and after.

--- a/crates/oleanderpost-serving/src/entry_context.rs
+++ b/crates/oleanderpost-serving/src/entry_context.rs
@@ -150,7 +150,7 @@
         self.scheduler.report_crash(fingerprint, upstream).await;
     }
 
-    /// Records a complete response to the request, or that it runs for long enough not to crash its upstream.
+    /// Records a complete response to the request.
     pub(crate) fn note_sound(&self, request: &AdmittedRequest) {
         if !self.scheduler.crash_watch().is_idle() {
             self.scheduler.note_sound(request.fingerprint());
--- a/crates/oleanderpost-serving/src/stream_proxy.rs
+++ b/crates/oleanderpost-serving/src/stream_proxy.rs
@@ -10,8 +10,8 @@
 };
 
 use crate::{
-    AttemptError, AttemptHeaders, Attempts, CrashLedger, EntryContext, Event, Rejection,
-    ResponseAborted, ResponseBody, ResponseHead, RunStatus, UpstreamId, WorkEnd,
+    AttemptError, AttemptHeaders, Attempts, EntryContext, Event, Rejection, ResponseAborted,
+    ResponseBody, ResponseHead, RunStatus, UpstreamId, WorkEnd,
     admitted_request::AdmittedRequest,
     engine_finder::{DEFAULT_RETRY_AFTER, EngineFinder, PlacementError},
     event_reader::{EventError, EventReader, StreamItem},
@@ -41,15 +41,6 @@
     reader: EventReader,
     connection: UpstreamConnection,
     head: ResponseHead,
-    first_event_at: Instant,
-}
-
-impl UpstreamStream {
-    /// Whether the request may still crash its engine.
-    fn is_unproven(&self) -> bool {
-        let age_ms = self.first_event_at.elapsed().as_secs_f64() * 1e3;
-        CrashLedger::is_unproven(age_ms, Some(0.0))
-    }
 }
 
 /// Sender of the chunks of a streamed response body.
@@ -244,7 +235,6 @@
             reader,
             connection,
             head,
-            first_event_at: Instant::now(),
         };
         Ok(AttemptOutcome::Stream(parts, Box::new(stream), first_item))
     }
@@ -312,9 +302,6 @@
                 Ok(StreamItem::Event(event)) => match self.forward_event(event, &body_sender).await
                 {
                     ForwardResult::Forwarded => {
-                        if !stream.is_unproven() {
-                            self.entry.note_sound(&self.request);
-                        }
                         next = tokio::select! {
                             biased;
                             next = self.next_event(&mut stream) => next,
@@ -441,12 +428,11 @@
         } else {
             AttemptError::new("read event", &upstream.id, RunStatus::MayHaveRun, cause)
         };
-        let is_unproven = stream.is_unproven();
         stream
             .placement
             .close(if in_time { end } else { WorkEnd::Cancelled });
         self.record_failed_attempt(&e);
-        if e.disconnected && is_unproven {
+        if e.disconnected {
             self.entry.note_disconnected(&self.request, &upstream).await;
         }
         if !self.all_events_numbered || !self.may_retry() {
