Count crashes on prompt parts when engines restart under their identifiers

Cause: an answer of an engine refuted its crash, also if it came from the next process with that identifier; and a second crash under it was taken for the first one.

Change: a crash is confirmed by a node that was refused a connection; answers don't refute it then, and a later crash of the same identifier is another one.

Evidence: crashes_on_a_part_count_although_the_engine_answers_again_under_its_identifier failed before (the fourth request was placed) and passes.

--- a/crates/oleanderpost-serving/src/crash_ledger.rs
+++ b/crates/oleanderpost-serving/src/crash_ledger.rs
@@ -11,6 +11,8 @@
 pub(crate) const INCIDENT_MS: f64 = 100.0;
 /// Time without a crash after its first event for which a request must run to count as sound.
 const SOUND_AFTER_MS: f64 = 150.0;
+/// Longest time between two reports of the same crash.
+pub(crate) const SAME_CRASH_MS: f64 = 1_000.0;
 /// Time for which messages from before a crash may still arrive.
 const MESSAGE_DELAY_MS: f64 = 100.0;
 /// Duration of the first quarantine of parts. Each further incident doubles it.
@@ -31,6 +33,8 @@
 struct Crash {
     engine: UpstreamId,
     at: f64,
+    /// Whether the process of the engine is known to be gone. Answers under its identifier then come from another one.
+    is_confirmed: bool,
     /// Prompts that the engine had not begun to answer, or only just before.
     prompts: Vec<Vec<PartId>>,
 }
@@ -113,14 +117,25 @@
 
     /// Records that the engine answers requests. If it was taken for crashed, it was not.
     pub fn note_alive(&mut self, now: f64, engine: &UpstreamId) {
-        let is_refuted =
-            |crash: &Crash| crash.engine == *engine && now > crash.at + MESSAGE_DELAY_MS;
+        let is_refuted = |crash: &Crash| {
+            let is_later = now > crash.at + MESSAGE_DELAY_MS;
+            crash.engine == *engine && !crash.is_confirmed && is_later
+        };
         if self.crashes.iter().any(is_refuted) {
             self.crashes.retain(|crash| !is_refuted(crash));
             self.update_quarantines(now);
         }
     }
 
+    /// Records that the process of an engine which broke off its requests around `at` is gone.
+    pub fn confirm_crash(&mut self, at: f64, engine: &UpstreamId) {
+        for crash in &mut self.crashes {
+            if crash.engine == *engine && (crash.at - at).abs() <= SAME_CRASH_MS {
+                crash.is_confirmed = true;
+            }
+        }
+    }
+
     /// Records that the engine broke off its requests, with the prompts for which [`is_unproven`](Self::is_unproven)
     /// holds. Returns whether there are any, and the engine's crash was not known.
     pub fn note_crash(
@@ -134,15 +149,16 @@
         self.settle(now);
         self.recent_starts.retain(|start| start.engine != *engine);
         // Requests are reported one by one, and a connection may have failed shortly before the engine.
-        let known = self
-            .crashes
-            .iter()
-            .position(|crash| crash.engine == *engine);
+        let known = self.crashes.iter().position(|crash| {
+            let is_over = crash.is_confirmed && now - crash.at > SAME_CRASH_MS;
+            crash.engine == *engine && !is_over
+        });
         let mut crash = match known {
             Some(at) => self.crashes.remove(at),
             None => Crash {
                 engine: engine.clone(),
                 at: now,
+                is_confirmed: false,
                 prompts: Vec::new(),
             },
         };
--- a/crates/oleanderpost-serving/src/request_crash_ledger.rs
+++ b/crates/oleanderpost-serving/src/request_crash_ledger.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     RequestCrash, RequestFingerprint, RequestQuarantine, RequestVerdicts, UpstreamId,
-    crash_ledger::{INCIDENT_MS, MAX_QUARANTINE_MS, QUARANTINE_MS},
+    crash_ledger::{INCIDENT_MS, MAX_QUARANTINE_MS, QUARANTINE_MS, SAME_CRASH_MS},
 };
 
 /// Number of crashes after which a request is quarantined. Two may hit the same caller by chance: a request that lost
@@ -16,8 +16,6 @@
 const MAX_SHARED_CRASHES: usize = 6;
 /// Duration of a quarantine while it is not certain that the request is the cause.
 const UNCERTAIN_QUARANTINE_MS: f64 = 2_000.0;
-/// Longest time between two reports of the same crash, if the clocks of processes can't tell two crashes apart.
-const SAME_CRASH_MS: f64 = 1_000.0;
 /// Time for which a crash is remembered. Longer than any quarantine, so that one more crash renews it.
 const CRASH_TTL_MS: f64 = 2.0 * MAX_QUARANTINE_MS;
 /// Time since its last crash for which a request is a suspect to other nodes, which hash all requests meanwhile.
--- a/crates/oleanderpost-serving/src/scheduler_host.rs
+++ b/crates/oleanderpost-serving/src/scheduler_host.rs
@@ -19,9 +19,9 @@
 
 use crate::{
     BootTime, CrashLedger, CrashWatch, DataCentreName, Decision, HeldWork, LogRateLimiter,
-    Quarantine, RequestLimiter, RequestRate, RequestVerdicts, Scheduler, SchedulerMessage,
-    ServiceName, ServingConfig, SignalTable, SignalVersion, UpstreamDirectory, UpstreamId, WorkId,
-    recent_maximum::RecentMaximum,
+    Quarantine, RequestCrash, RequestLimiter, RequestRate, RequestVerdicts, Scheduler,
+    SchedulerMessage, ServiceName, ServingConfig, SignalTable, SignalVersion, UpstreamDirectory,
+    UpstreamId, WorkId, recent_maximum::RecentMaximum,
 };
 
 /// Interval between scheduling rounds while requests are waiting and none ends.
@@ -321,6 +321,7 @@
                 max_wait_ms,
             } => Some(Self::decide_permit(&mut state, now, &upstream, max_wait_ms)),
             SchedulerMessage::RequestCrashes { crashes } => {
+                confirm_crashes(&mut state, now, &crashes);
                 drop(state);
                 let verdicts = self.announce(self.crash_watch.note_crashes(&crashes));
                 Some(SchedulerMessage::RequestVerdicts { verdicts })
@@ -347,6 +348,7 @@
                     self.crash_watch.learn(&request_quarantines);
                 }
                 let reply = reply_to_heartbeat(&mut state, now, from, &ids);
+                confirm_crashes(&mut state, now, &request_crashes);
                 drop(state);
                 let verdicts = if request_crashes.is_empty() {
                     self.crash_watch.verdicts()
@@ -614,6 +616,16 @@
     }
 }
 
+/// Tells the ledgers of prompt parts which engines are known to have crashed.
+fn confirm_crashes(state: &mut HostState, now: f64, crashes: &[RequestCrash]) {
+    for crash in crashes {
+        for scheduler in state.schedulers.values_mut() {
+            let ledger = scheduler.crash_ledger_mut();
+            ledger.confirm_crash(now - crash.age_ms, &crash.upstream);
+        }
+    }
+}
+
 fn adopt(state: &mut HostState, now: f64, from: &VmId, held: &[HeldWork]) {
     for placement in held {
         if let Some(scheduler) = state.schedulers.get_mut(&placement.service) {
--- a/crates/oleanderpost-serving/tests/scheduler_client.rs
+++ b/crates/oleanderpost-serving/tests/scheduler_client.rs
@@ -10,10 +10,10 @@
 };
 
 use oleanderpost_serving::{
-    BootTime, DataCentreName, Decision, DecisionRouter, EngineProfile, NodeState, PeerLink,
-    RequestRate, ResponseHead, SchedulerClient, SchedulerHost, SchedulerMessage, Service,
-    ServiceName, ServingConfig, SignalVersion, Upstream, UpstreamDirectory, UpstreamId,
-    UpstreamSignal, Work, WorkEnd, WorkId,
+    BootTime, DataCentreName, Decision, DecisionRouter, EngineProfile, NodeState, PartId, PeerLink,
+    RequestCrash, RequestFingerprint, RequestRate, ResponseHead, SchedulerClient, SchedulerHost,
+    SchedulerMessage, Service, ServiceName, ServingConfig, SignalVersion, Upstream,
+    UpstreamDirectory, UpstreamId, UpstreamSignal, Work, WorkEnd, WorkId,
 };
 use oleanderpost_types::VmId;
 use tokio::time::{Instant, sleep};
@@ -164,8 +164,12 @@
 }
 
 fn work(client: &SchedulerClient, prompt: f64) -> Work {
+    work_with_id(client.next_id(), prompt)
+}
+
+fn work_with_id(id: WorkId, prompt: f64) -> Work {
     Work {
-        id: client.next_id(),
+        id,
         prompt,
         answer: 600.0,
         answer_limit: 600.0,
@@ -395,3 +399,54 @@
         (&upstream.id, head.request_limit)
     );
 }
+
+/// Submits a request whose prompt has one part, and returns the decision.
+fn submit_prompt(host: &SchedulerHost, number: u64, part: &str) -> Decision {
+    let mut work = work_with_id(WorkId(1, number), 5_000.0);
+    work.parts = vec![PartId::new(part)];
+    let msg = SchedulerMessage::Submit {
+        service: llm(),
+        work,
+    };
+    match host.handle(&vm_id("node"), msg, false) {
+        Some(SchedulerMessage::Decided { decision, .. }) => decision,
+        reply => panic!("{reply:?}"),
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn crashes_on_a_part_count_although_the_engine_answers_again_under_its_identifier() {
+    let host = host();
+    let node = vm_id("node");
+    for n in 0..3 {
+        let id = WorkId(1, 2 * n);
+        let decision = submit_prompt(&host, 2 * n, "deadly");
+        assert!(matches!(decision, Decision::Run(_)), "{decision:?}");
+        let ended = SchedulerMessage::Ended {
+            service: llm(),
+            id,
+            end: WorkEnd::Disconnected,
+        };
+        host.handle(&node, ended, false);
+        let crash = RequestCrash {
+            request: RequestFingerprint::from_fields([n.to_string().as_bytes()]),
+            upstream: UpstreamId::new("engine"),
+            started_at: Some(n),
+            age_ms: 0.0,
+        };
+        let report = SchedulerMessage::RequestCrashes {
+            crashes: vec![crash],
+        };
+        host.handle(&node, report, false);
+        // The engine is excluded for some time after a failure.
+        sleep(Duration::from_secs(20)).await;
+        let id = WorkId(1, 2 * n + 1);
+        let decision = submit_prompt(&host, 2 * n + 1, "sound");
+        assert!(matches!(decision, Decision::Run(_)), "{decision:?}");
+        let service = llm();
+        host.handle(&node, SchedulerMessage::FirstEvent { service, id }, false);
+        sleep(Duration::from_secs(1)).await;
+    }
+    let decision = submit_prompt(&host, 6, "deadly");
+    assert!(matches!(decision, Decision::Refuse { .. }), "{decision:?}");
+}
