Let sound requests end in the test of engines that keep their identifiers

With this change the test fails without the fix (the last request is placed) and passes with it; all ten tests of the file pass.

--- a/crates/oleanderpost-serving/tests/scheduler_client.rs
+++ b/crates/oleanderpost-serving/tests/scheduler_client.rs
@@ -446,6 +446,12 @@
         let service = llm();
         host.handle(&node, SchedulerMessage::FirstEvent { service, id }, false);
         sleep(Duration::from_secs(1)).await;
+        let ended = SchedulerMessage::Ended {
+            service: llm(),
+            id,
+            end: WorkEnd::Finished,
+        };
+        host.handle(&node, ended, false);
     }
     let decision = submit_prompt(&host, 6, "deadly");
     assert!(matches!(decision, Decision::Refuse { .. }), "{decision:?}");
