Quarantine a request only briefly if other upstreams crash at the same time without it

Cause: each crash counted against the request, although engines that did not have it crashed in the same instant.

Change: the quarantine is long only after three crashes at which no other upstream crashed within 50 ms without having the request; otherwise two seconds, until six crashes.

Evidence: request_at_one_of_many_crashes_at_once_is_refused_for_two_seconds_only failed before (300 s).

--- a/crates/oleanderpost-serving/src/request_crash_ledger.rs
+++ b/crates/oleanderpost-serving/src/request_crash_ledger.rs
@@ -12,8 +12,11 @@
 const MIN_CRASHES: usize = 3;
 /// Number of crashes after which complete responses to a request are reported.
 const MIN_SUSPECT_CRASHES: usize = 2;
-/// Number of crashes from which on a request counts as their cause even if another one was in progress at all of them.
-const MAX_SHARED_CRASHES: usize = 6;
+/// Number of crashes from which on a request counts as their cause whatever else happened at the same time.
+const MAX_UNCERTAIN_CRASHES: usize = 6;
+/// Crashes within this time of each other may have one cause. An upstream that did not have the request then shows that
+/// the cause is another one.
+const SIMULTANEOUS_MS: f64 = 50.0;
 /// Duration of a quarantine while it is not certain that the request is the cause.
 const UNCERTAIN_QUARANTINE_MS: f64 = 2_000.0;
 /// Time for which a crash is remembered. Longer than any quarantine, so that one more crash renews it.
@@ -59,8 +62,8 @@
 ///
 /// A request is quarantined if several upstreams crashed while they had it and no response to it has been complete
 /// since. As long as the crashes may have had another cause, such as another request that all these upstreams had as
-/// well, the quarantine is short: afterwards a request that is sound gets a response, and one that is not crashes an
-/// upstream that does not have the other.
+/// well, or the loss of a rack, the quarantine is short: afterwards a request that is sound gets a response, and one that
+/// is not crashes an upstream under other circumstances.
 ///
 /// All times are milliseconds on a clock supplied by the caller.
 #[derive(Clone, Debug, Default)]
@@ -219,8 +222,12 @@
         let mut others = suspects.iter().filter(|(other, _)| other != request);
         let is_shared =
             others.any(|(_, of_other)| crashes.iter().all(|crash| of_other.contains(crash)));
+        let separate = crashes
+            .iter()
+            .filter(|crash| self.is_separate(**crash, *request));
+        let is_unexplained = !is_shared && separate.count() >= MIN_CRASHES;
         let is_certain = self.has_several_incidents(crashes)
-            && (!is_shared || crashes.len() >= MAX_SHARED_CRASHES);
+            && (is_unexplained || crashes.len() >= MAX_UNCERTAIN_CRASHES);
         let duration = if is_certain {
             let doublings = i32::try_from(crashes.len() - MIN_CRASHES).unwrap_or(i32::MAX);
             (QUARANTINE_MS * 2_f64.powi(doublings)).min(MAX_QUARANTINE_MS)
@@ -235,6 +242,14 @@
         })
     }
 
+    /// Whether no other upstream crashed at the same time without having the request.
+    fn is_separate(&self, index: usize, request: RequestFingerprint) -> bool {
+        let at = self.crashes[index].at;
+        let is_simultaneous = |crash: &&Crash| (crash.at - at).abs() <= SIMULTANEOUS_MS;
+        let mut simultaneous = self.crashes.iter().filter(is_simultaneous);
+        simultaneous.all(|crash| crash.requests.contains(&request))
+    }
+
     /// Whether the crashes are too far apart to have one cause that is not a request, such as the loss of a rack.
     fn has_several_incidents(&self, crashes: &[usize]) -> bool {
         let mut times = crashes.iter().map(|crash| self.crashes[*crash].at);
--- a/crates/oleanderpost-serving/tests/request_crash_ledger.rs
+++ b/crates/oleanderpost-serving/tests/request_crash_ledger.rs
@@ -95,6 +95,31 @@
     assert_eq!(quarantine_ms(&ledger, 2_070.0, "popular"), 0.0);
 }
 
+#[test]
+fn request_at_one_of_many_crashes_at_once_is_refused_for_two_seconds_only() {
+    let mut ledger = RequestCrashLedger::default();
+    for n in 0..3 {
+        let at = f64::from(n) * 1_000.0;
+        crash(&mut ledger, at, &["stream"]);
+        for other in 1..6 {
+            let name = format!("other-{n}-{other}");
+            crash(&mut ledger, at + f64::from(other), &[&name]);
+        }
+    }
+    assert_eq!(quarantine_ms(&ledger, 2_000.0, "stream"), 2_000.0);
+}
+
+#[test]
+fn request_that_goes_on_crashing_beside_others_is_quarantined() {
+    let mut ledger = RequestCrashLedger::default();
+    for n in 0..6 {
+        let at = f64::from(n) * 1_000.0;
+        crash(&mut ledger, at, &["deadly"]);
+        crash(&mut ledger, at + 1.0, &[&format!("other-{n}")]);
+    }
+    assert!(quarantine_ms(&ledger, 5_001.0, "deadly") >= 300_000.0 - 1.0);
+}
+
 #[test]
 fn requests_at_the_same_crashes_are_told_apart_by_the_next_one() {
     let mut ledger = RequestCrashLedger::default();
