Tell a scheduler the quarantines of the nodes once, not with each heartbeat

Callers: when an engine that had been taken for crashed answered, the scheduler ended the quarantine of the prompt parts; the next heartbeat of any node, which still knew it, brought it back to all nodes, and sound prompts with these parts were refused for the rest of the five minutes.

Cause: heartbeats carry quarantines for a scheduler that takes over, and the one that had imposed them learned them as well.

Change: a node tells a scheduler its quarantines until that scheduler has replied, and again when the scheduler or the start of its node is another one. Announced verdicts on requests are added to what a node knows; only heartbeats replace it.

Evidence: quarantine_that_an_answer_has_ended_is_not_learned_again_from_the_nodes failed before. Schedulers that take over still learn: next_scheduler_learns_quarantines_from_the_nodes, quarantine_outlives_the_scheduler_that_imposed_it and crashes_count_although_the_scheduler_is_replaced_after_each pass before and after.

--- a/crates/oleanderpost-serving/src/crash_watch.rs
+++ b/crates/oleanderpost-serving/src/crash_watch.rs
@@ -110,6 +110,14 @@
         }
     }
 
+    /// Adds what the scheduler's node has announced. It may have restarted and not know all that this node does.
+    pub fn learn_verdicts(&self, verdicts: &RequestVerdicts) {
+        let mut state = self.lock();
+        state.ledger.learn(self.now(), &verdicts.quarantines);
+        state.suspects.extend(&verdicts.suspects);
+        self.update_known(&mut state);
+    }
+
     /// Replaces what was learned from other nodes.
     pub fn replace_learned(&self, verdicts: &RequestVerdicts) {
         let mut state = self.lock();
--- a/crates/oleanderpost-serving/src/scheduler_client.rs
+++ b/crates/oleanderpost-serving/src/scheduler_client.rs
@@ -57,6 +57,8 @@
     skipped_until: HashMap<VmId, Instant>,
     /// Signals of upstreams received from each scheduler.
     seen_signals: HashMap<VmId, SignalVersion>,
+    /// Scheduler, with the start of its node, that knows the quarantines of this node.
+    informed: Option<(VmId, u64)>,
     /// Recent crashes that this node has seen, oldest first.
     crashes: VecDeque<(BootTime, RequestCrash)>,
 }
@@ -303,7 +305,7 @@
     /// Applies what the node `from` says of requests that crash upstreams, if its scheduler is in use.
     pub fn apply_verdicts(&self, from: &VmId, verdicts: &RequestVerdicts) {
         if *from != self.own_id && *from == self.leader() {
-            self.crash_watch().replace_learned(verdicts);
+            self.crash_watch().learn_verdicts(verdicts);
         }
     }
 
@@ -338,14 +340,22 @@
             let ids = self.work_ids();
             let seen = self.lock().seen_signals.get(&seed).copied();
             let seen = seen.unwrap_or_default();
+            // A scheduler that is told again what it has ended would learn it anew.
+            let is_informed = self.lock().informed == Some((seed.clone(), seen.start_id));
+            let (quarantines, request_quarantines) = if is_informed {
+                (Vec::new(), Vec::new())
+            } else {
+                let verdicts = self.crash_watch().verdicts();
+                (self.host.quarantines(), verdicts.quarantines)
+            };
             let sent_at = BootTime::now();
             let signals = self.node_state.signals().own(sent_at);
             let heartbeat = SchedulerMessage::Heartbeat {
                 ids,
                 seen,
                 signals,
-                quarantines: self.host.quarantines(),
-                request_quarantines: self.crash_watch().verdicts().quarantines,
+                quarantines,
+                request_quarantines,
                 request_crashes: self.lock().recent_crashes(),
                 relay_address: self.relay_address(),
             };
@@ -374,7 +384,10 @@
             self.nodes.store(nodes.max(1), Ordering::Relaxed);
             self.host.note_fleet_size(nodes);
             *self.relays.lock().unwrap_or_else(PoisonError::into_inner) = relays;
-            if seed != self.own_id {
+            // A scheduler that has restarted gives back what it is told with the next heartbeat.
+            let has_restarted = is_informed && seen.start_id != version.start_id;
+            self.lock().informed = (!has_restarted).then(|| (seed.clone(), version.start_id));
+            if seed != self.own_id && !has_restarted {
                 self.host.replace_quarantines(&quarantines);
                 self.crash_watch().replace_learned(&verdicts);
             }
--- a/crates/oleanderpost-serving/tests/scheduler_client.rs
+++ b/crates/oleanderpost-serving/tests/scheduler_client.rs
@@ -85,6 +85,10 @@
 
 /// Creates a host with one engine.
 fn host() -> Arc<SchedulerHost> {
+    host_with_engines(1)
+}
+
+fn host_with_engines(engines: usize) -> Arc<SchedulerHost> {
     let profile = EngineProfile {
         slots: 16,
         memory_tokens: 232_000.0,
@@ -105,15 +109,18 @@
     };
     let config = ServingConfig::new(1).with_services([(llm(), service)]);
     let mut directory = UpstreamDirectory::default();
-    directory.put(Upstream {
-        id: UpstreamId::new("engine"),
-        service: llm(),
-        address: "127.0.0.1:1".parse().unwrap(),
-        data_centre: DataCentreName::new("dc-a"),
-        slots: 16,
-        draining: false,
-        started_at: None,
-    });
+    let ids = ["engine", "engine-2", "engine-3"];
+    for id in ids.into_iter().take(engines) {
+        directory.put(Upstream {
+            id: UpstreamId::new(id),
+            service: llm(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            data_centre: DataCentreName::new("dc-a"),
+            slots: 16,
+            draining: false,
+            started_at: None,
+        });
+    }
     let host = Arc::new(SchedulerHost::new());
     host.refresh(&config, &directory);
     host
@@ -129,9 +136,13 @@
 
 /// Creates a node that is not a seed, and two seeds.
 fn fixture() -> Fixture {
+    fixture_with_engines(1)
+}
+
+fn fixture_with_engines(engines: usize) -> Fixture {
     let links = Arc::new(TestLinks::default());
     let names = [vm_id("seed-1"), vm_id("seed-2")];
-    let seeds = vec![host(), host()];
+    let seeds = vec![host_with_engines(engines), host_with_engines(engines)];
     for (name, seed) in names.iter().zip(&seeds) {
         links
             .hosts
@@ -140,7 +151,7 @@
             .insert(name.clone(), Arc::clone(seed));
     }
     *links.own.lock().unwrap() = Some(vm_id("node"));
-    let local_host = host();
+    let local_host = host_with_engines(engines);
     let state = Arc::new(NodeState::new(Duration::from_secs(5)));
     let link = Arc::clone(&links) as Arc<dyn PeerLink>;
     let client = Arc::new(SchedulerClient::new(
@@ -456,3 +467,51 @@
     let decision = submit_prompt(&host, 6, "deadly");
     assert!(matches!(decision, Decision::Refuse { .. }), "{decision:?}");
 }
+
+/// Lets three engines break off a request whose prompt has the part `deadly`, and waits until the node knows the
+/// quarantine.
+async fn quarantine_part(f: &Fixture) {
+    for _ in 0..3 {
+        let mut work = work(&f.client, 5_000.0);
+        work.parts = vec![PartId::new("deadly")];
+        let lease = f.client.place(&llm(), work).await.unwrap();
+        lease.close(WorkEnd::Disconnected);
+        sleep(Duration::from_millis(150)).await;
+    }
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(f.local_host.quarantines().len(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn quarantine_that_an_answer_has_ended_is_not_learned_again_from_the_nodes() {
+    let f = fixture_with_engines(3);
+    quarantine_part(&f).await;
+    // The engines are excluded for some time after a failure.
+    sleep(Duration::from_secs(20)).await;
+    let work = work(&f.client, 5_000.0);
+    let lease = f.client.place(&llm(), work).await.unwrap();
+    lease.note_first_event();
+    sleep(Duration::from_secs(2)).await;
+    assert!(f.seeds[0].quarantines().is_empty());
+    assert!(f.local_host.quarantines().is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn next_scheduler_learns_quarantines_from_the_nodes() {
+    let f = fixture_with_engines(3);
+    quarantine_part(&f).await;
+    f.links.unreachable.lock().unwrap().push(vm_id("seed-1"));
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(f.client.leader(), vm_id("seed-2"));
+    assert_eq!(f.seeds[1].quarantines().len(), 1);
+    assert_eq!(f.local_host.quarantines().len(), 1);
+    let restarted = host_with_engines(3);
+    let mut hosts = f.links.hosts.lock().unwrap();
+    hosts.insert(vm_id("seed-1"), Arc::clone(&restarted));
+    drop(hosts);
+    f.links.unreachable.lock().unwrap().clear();
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(f.client.leader(), vm_id("seed-1"));
+    assert_eq!(restarted.quarantines().len(), 1);
+    assert_eq!(f.local_host.quarantines().len(), 1);
+}
