--- a/crates/oleanderpost-serving/tests/scheduler_client.rs
+++ b/crates/oleanderpost-serving/tests/scheduler_client.rs
@@ -40,6 +40,14 @@
     }
 }
 
+impl TestLinks {
+    /// Puts a new host in the place of the one at `id`.
+    fn restart(&self, id: &VmId, host: &Arc<SchedulerHost>) {
+        let mut hosts = self.hosts.lock().unwrap();
+        hosts.insert(id.clone(), Arc::clone(host));
+    }
+}
+
 #[async_trait::async_trait]
 impl PeerLink for TestLinks {
     async fn request(
@@ -506,9 +514,7 @@
     assert_eq!(f.seeds[1].quarantines().len(), 1);
     assert_eq!(f.local_host.quarantines().len(), 1);
     let restarted = host_with_engines(3);
-    let mut hosts = f.links.hosts.lock().unwrap();
-    hosts.insert(vm_id("seed-1"), Arc::clone(&restarted));
-    drop(hosts);
+    f.links.restart(&vm_id("seed-1"), &restarted);
     f.links.unreachable.lock().unwrap().clear();
     sleep(Duration::from_secs(2)).await;
     assert_eq!(f.client.leader(), vm_id("seed-1"));
