Don't count crashes against a prompt part if other engines crashed at the same time without it

Change: crashes beside a confirmed one without the part do not count, until there are six incidents.

Evidence: part_at_one_of_many_crashes_at_once_is_not_refused failed before. The fuzz of the ledger and the tests with nodes pass as before.

--- a/crates/oleanderpost-serving/src/crash_ledger.rs
+++ b/crates/oleanderpost-serving/src/crash_ledger.rs
@@ -9,6 +9,11 @@
 const MIN_INCIDENTS: usize = 3;
 /// Crashes within this time after the first one are one incident, such as the loss of a rack.
 pub(crate) const INCIDENT_MS: f64 = 100.0;
+/// Number of incidents from which on a part is quarantined whatever else happened at the same time.
+const MAX_UNCERTAIN_INCIDENTS: usize = 6;
+/// Crashes within this time of each other may have one cause. An upstream that crashed without the suspect then shows
+/// that the cause is another one.
+pub(crate) const SIMULTANEOUS_MS: f64 = 50.0;
 /// Time without a crash after its first event for which a request must run to count as sound.
 const SOUND_AFTER_MS: f64 = 150.0;
 /// Longest time between two reports of the same crash.
@@ -128,11 +133,14 @@
     }
 
     /// Records that the process of an engine which broke off its requests around `at` is gone.
-    pub fn confirm_crash(&mut self, at: f64, engine: &UpstreamId) {
-        for crash in &mut self.crashes {
-            if crash.engine == *engine && (crash.at - at).abs() <= SAME_CRASH_MS {
-                crash.is_confirmed = true;
-            }
+    pub fn confirm_crash(&mut self, now: f64, at: f64, engine: &UpstreamId) {
+        let unconfirmed = self.crashes.iter_mut().find(|crash| {
+            let is_same = crash.engine == *engine && (crash.at - at).abs() <= SAME_CRASH_MS;
+            is_same && !crash.is_confirmed
+        });
+        if let Some(crash) = unconfirmed {
+            crash.is_confirmed = true;
+            self.update_quarantines(now);
         }
     }
 
@@ -320,6 +328,15 @@
         (!suspects.is_empty()).then(|| suspects.swap_remove(prime))
     }
 
+    /// Whether no engine is known to have crashed at the same time without a prompt that has the part.
+    fn is_separate(&self, crash: &Crash, part: &PartId) -> bool {
+        let mut simultaneous = self
+            .crashes
+            .iter()
+            .filter(|other| other.is_confirmed && (other.at - crash.at).abs() <= SIMULTANEOUS_MS);
+        simultaneous.all(|other| other.prompts.iter().any(|prompt| prompt.contains(part)))
+    }
+
     /// What speaks against `part`; `None` if that is not enough.
     fn suspect<'a>(
         &self,
@@ -334,11 +351,12 @@
         };
         let crashes: Vec<_> = crashes.iter().filter(with_part).collect();
         let (first_at, last_at) = (crashes.first()?.at, crashes.last()?.at);
-        let incidents: HashSet<_> = crashes
-            .iter()
-            .map(|crash| incident_starts.partition_point(|start| *start <= crash.at))
-            .collect();
-        if incidents.len() < MIN_INCIDENTS {
+        let incident = |crash: &&&Crash| incident_starts.partition_point(|at| *at <= crash.at);
+        let incidents: HashSet<_> = crashes.iter().map(|crash| incident(crash)).collect();
+        let separate = crashes.iter().filter(|crash| self.is_separate(crash, part));
+        let separate_incidents: HashSet<_> = separate.map(|crash| incident(crash)).collect();
+        let is_certain = separate_incidents.len() >= MIN_INCIDENTS;
+        if !is_certain && incidents.len() < MAX_UNCERTAIN_INCIDENTS {
             return None;
         }
         let prompts: Vec<_> = crashes
--- a/crates/oleanderpost-serving/src/request_crash_ledger.rs
+++ b/crates/oleanderpost-serving/src/request_crash_ledger.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     RequestCrash, RequestFingerprint, RequestQuarantine, RequestVerdicts, UpstreamId,
-    crash_ledger::{INCIDENT_MS, MAX_QUARANTINE_MS, QUARANTINE_MS, SAME_CRASH_MS},
+    crash_ledger::{INCIDENT_MS, MAX_QUARANTINE_MS, QUARANTINE_MS, SAME_CRASH_MS, SIMULTANEOUS_MS},
 };
 
 /// Number of crashes after which a request is quarantined. Two may hit the same caller by chance: a request that lost
@@ -14,9 +14,6 @@
 const MIN_SUSPECT_CRASHES: usize = 2;
 /// Number of crashes from which on a request counts as their cause whatever else happened at the same time.
 const MAX_UNCERTAIN_CRASHES: usize = 6;
-/// Crashes within this time of each other may have one cause. An upstream that did not have the request then shows that
-/// the cause is another one.
-const SIMULTANEOUS_MS: f64 = 50.0;
 /// Duration of a quarantine while it is not certain that the request is the cause.
 const UNCERTAIN_QUARANTINE_MS: f64 = 2_000.0;
 /// Time for which a crash is remembered. Longer than any quarantine, so that one more crash renews it.
--- a/crates/oleanderpost-serving/src/scheduler_host.rs
+++ b/crates/oleanderpost-serving/src/scheduler_host.rs
@@ -621,7 +621,7 @@
     for crash in crashes {
         for scheduler in state.schedulers.values_mut() {
             let ledger = scheduler.crash_ledger_mut();
-            ledger.confirm_crash(now - crash.age_ms, &crash.upstream);
+            ledger.confirm_crash(now, now - crash.age_ms, &crash.upstream);
         }
     }
 }
--- a/crates/oleanderpost-serving/tests/crash_ledger.rs
+++ b/crates/oleanderpost-serving/tests/crash_ledger.rs
@@ -85,6 +85,38 @@
     assert!(!is_refused(&ledger, 100.0, "system a own"));
 }
 
+/// Lets six engines crash within some milliseconds, of which one has a prompt with the part.
+fn crash_many(ledger: &mut CrashLedger, at: f64, part: &str) {
+    for n in 0..6 {
+        let at = at + f64::from(n);
+        let text = if n == 0 {
+            format!("{part} own-{at}")
+        } else {
+            format!("other-{at} own-{at}")
+        };
+        crash(ledger, at, &[&text]);
+        ledger.confirm_crash(at, at, &UpstreamId::new(&format!("engine-{at}")));
+    }
+}
+
+#[test]
+fn part_at_one_of_many_crashes_at_once_is_not_refused() {
+    let mut ledger = CrashLedger::default();
+    for n in 0..4 {
+        crash_many(&mut ledger, f64::from(n) * 1_000.0, "system");
+    }
+    assert!(!is_refused(&ledger, 4_000.0, "system own"));
+}
+
+#[test]
+fn part_that_goes_on_crashing_beside_others_is_refused() {
+    let mut ledger = CrashLedger::default();
+    for n in 0..6 {
+        crash_many(&mut ledger, f64::from(n) * 1_000.0, "bad");
+    }
+    assert!(is_refused(&ledger, 6_000.0, "bad own"));
+}
+
 #[test]
 fn connection_that_fails_before_the_engine_does_not_hide_the_crash() {
     let mut ledger = CrashLedger::default();
