--- a/crates/oleanderpost-serving/src/crash_ledger.rs
+++ b/crates/oleanderpost-serving/src/crash_ledger.rs
@@ -352,9 +352,9 @@
         let crashes: Vec<_> = crashes.iter().filter(with_part).collect();
         let (first_at, last_at) = (crashes.first()?.at, crashes.last()?.at);
         let incident = |crash: &&&Crash| incident_starts.partition_point(|at| *at <= crash.at);
-        let incidents: HashSet<_> = crashes.iter().map(|crash| incident(crash)).collect();
+        let incidents: HashSet<_> = crashes.iter().map(incident).collect();
         let separate = crashes.iter().filter(|crash| self.is_separate(crash, part));
-        let separate_incidents: HashSet<_> = separate.map(|crash| incident(crash)).collect();
+        let separate_incidents: HashSet<_> = separate.map(incident).collect();
         let is_certain = separate_incidents.len() >= MIN_INCIDENTS;
         if !is_certain && incidents.len() < MAX_UNCERTAIN_INCIDENTS {
             return None;
