Bound the work of the scheduler's node when many upstreams crash at once

Read in review, not measured: with 50 engines of 16 requests each, every report sent all recent crashes of its node, recomputed all verdicts, and announced each new suspect to all nodes. A report now has one crash; verdicts are recomputed only if the request was at another crash or someone is suspect; only changed quarantines are announced, at most every 50 ms; crashes of the last minute go to a scheduler that takes over, no longer with each heartbeat. Prompt parts with too few incidents are left out before crashes at the same time are compared.

All tests of the ledgers, of the scheduler's client and of nodes pass as before.

--- a/crates/oleanderpost-serving/src/crash_ledger.rs
+++ b/crates/oleanderpost-serving/src/crash_ledger.rs
@@ -353,6 +353,9 @@
         let (first_at, last_at) = (crashes.first()?.at, crashes.last()?.at);
         let incident = |crash: &&&Crash| incident_starts.partition_point(|at| *at <= crash.at);
         let incidents: HashSet<_> = crashes.iter().map(incident).collect();
+        if incidents.len() < MIN_INCIDENTS {
+            return None;
+        }
         let separate = crashes.iter().filter(|crash| self.is_separate(crash, part));
         let separate_incidents: HashSet<_> = separate.map(incident).collect();
         let is_certain = separate_incidents.len() >= MIN_INCIDENTS;
--- a/crates/oleanderpost-serving/src/crash_watch.rs
+++ b/crates/oleanderpost-serving/src/crash_watch.rs
@@ -64,7 +64,7 @@
         Duration::try_from_secs_f64(left_ms / 1e3).ok()
     }
 
-    /// Records crashes; returns the verdicts and whether they have changed.
+    /// Records crashes; returns the verdicts and whether other requests are quarantined than before.
     pub fn note_crashes(&self, crashes: &[RequestCrash]) -> (RequestVerdicts, bool) {
         self.change(|now, ledger| {
             for crash in crashes {
@@ -73,7 +73,7 @@
         })
     }
 
-    /// Records complete responses; returns the verdicts and whether they have changed.
+    /// Records complete responses; returns the verdicts and whether other requests are quarantined than before.
     pub fn note_sound(&self, requests: &[RequestFingerprint]) -> (RequestVerdicts, bool) {
         self.change(|now, ledger| {
             for request in requests {
@@ -154,7 +154,7 @@
         change(now, &mut state.ledger);
         let after = state.ledger.verdicts(now);
         self.update_known(&mut state);
-        let has_changed = before != after;
+        let has_changed = before.quarantines != after.quarantines;
         (after, has_changed)
     }
 
--- a/crates/oleanderpost-serving/src/request_crash_ledger.rs
+++ b/crates/oleanderpost-serving/src/request_crash_ledger.rs
@@ -80,10 +80,13 @@
     /// Records a crash, which may have been reported before.
     pub fn note_crash(&mut self, now: f64, report: &RequestCrash) {
         let at = now - report.age_ms.clamp(0.0, CRASH_TTL_MS);
+        let had_request = |crash: &Crash| crash.requests.contains(&report.request);
+        let is_repeated = self.crashes.iter().any(had_request);
         let known = self
             .crashes
             .iter_mut()
             .find(|crash| crash.is_same(report, at));
+        let is_new = known.is_none();
         if let Some(crash) = known {
             let is_known = crash.requests.contains(&report.request);
             if is_known || crash.requests.len() >= MAX_REQUESTS {
@@ -103,7 +106,10 @@
                 self.crashes.remove(0);
             }
         }
-        self.update(now);
+        // Most requests that an upstream had are in no other crash, which changes no verdict.
+        if is_repeated || (is_new && !self.suspects.is_empty()) {
+            self.update(now);
+        }
     }
 
     /// Records a complete response to a request.
--- a/crates/oleanderpost-serving/src/scheduler_client.rs
+++ b/crates/oleanderpost-serving/src/scheduler_client.rs
@@ -34,10 +34,9 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// Number of nodes from which on only the seeds read the discovery store all the time.
 const FOLLOWING_MIN_NODES: usize = 24;
-/// Time for which each heartbeat repeats a crash, so that a scheduler which takes over learns of it. Callers repeat
-/// requests within seconds.
+/// Time for which a scheduler that takes over is told of a crash. Callers repeat requests within seconds.
 const CRASH_REPORT_TTL: Duration = Duration::from_secs(60);
-/// Maximum number of crashes that heartbeats repeat.
+/// Maximum number of crashes that a scheduler which takes over is told of.
 const MAX_CRASH_REPORTS: usize = 64;
 /// Time for which a scheduler that did not reply is skipped.
 const SKIP_TIME: Duration = Duration::from_millis(700);
@@ -57,7 +56,7 @@
     skipped_until: HashMap<VmId, Instant>,
     /// Signals of upstreams received from each scheduler.
     seen_signals: HashMap<VmId, SignalVersion>,
-    /// Scheduler, with the start of its node, that knows the quarantines of this node.
+    /// Scheduler, with the start of its node, that knows the quarantines and crashes of this node.
     informed: Option<(VmId, u64)>,
     /// Recent crashes that this node has seen, oldest first.
     crashes: VecDeque<(BootTime, RequestCrash)>,
@@ -269,11 +268,11 @@
             if state.crashes.len() >= MAX_CRASH_REPORTS {
                 state.crashes.pop_front();
             }
-            state.crashes.push_back((BootTime::now(), crash));
+            state.crashes.push_back((BootTime::now(), crash.clone()));
         }
         loop {
             let to = self.leader();
-            let crashes = self.lock().recent_crashes();
+            let crashes = vec![crash.clone()];
             let msg = SchedulerMessage::RequestCrashes { crashes };
             match self.exchange(&to, msg, SUBMIT_TIMEOUT).await {
                 Some(SchedulerMessage::RequestVerdicts { verdicts }) => {
@@ -342,11 +341,12 @@
             let seen = seen.unwrap_or_default();
             // A scheduler that is told again what it has ended would learn it anew.
             let is_informed = self.lock().informed == Some((seed.clone(), seen.start_id));
-            let (quarantines, request_quarantines) = if is_informed {
-                (Vec::new(), Vec::new())
+            let (quarantines, request_quarantines, request_crashes) = if is_informed {
+                (Vec::new(), Vec::new(), Vec::new())
             } else {
                 let verdicts = self.crash_watch().verdicts();
-                (self.host.quarantines(), verdicts.quarantines)
+                let crashes = self.lock().recent_crashes();
+                (self.host.quarantines(), verdicts.quarantines, crashes)
             };
             let sent_at = BootTime::now();
             let signals = self.node_state.signals().own(sent_at);
@@ -356,7 +356,7 @@
                 signals,
                 quarantines,
                 request_quarantines,
-                request_crashes: self.lock().recent_crashes(),
+                request_crashes,
                 relay_address: self.relay_address(),
             };
             let reply = self.exchange(&seed, heartbeat, HEARTBEAT_TIMEOUT).await;
--- a/crates/oleanderpost-serving/src/scheduler_host.rs
+++ b/crates/oleanderpost-serving/src/scheduler_host.rs
@@ -40,6 +40,8 @@
 /// that have just lost their scheduler do not each take the whole limit of an upstream.
 const FLEET_SIZE_WINDOW: Duration = Duration::from_secs(30);
 
+/// Minimum time between two announcements of requests that crash upstreams; heartbeats carry what is left out.
+const MIN_ANNOUNCE_INTERVAL: Duration = Duration::from_millis(50);
 /// Number of relays named to a node; the next heartbeat names others.
 const MAX_RELAYS: usize = 4;
 
@@ -88,6 +90,7 @@
     log_limiter: LogRateLimiter,
     fleet_size: Mutex<RecentMaximum>,
     crash_watch: CrashWatch,
+    last_announcement: Mutex<Option<Instant>>,
 }
 
 impl Default for SchedulerHost {
@@ -110,6 +113,7 @@
             log_limiter: LogRateLimiter::new(BootTime::now()),
             fleet_size: Mutex::new(RecentMaximum::new(FLEET_SIZE_WINDOW)),
             crash_watch: CrashWatch::new(),
+            last_announcement: Mutex::default(),
         }
     }
 
@@ -124,9 +128,12 @@
         &self.crash_watch
     }
 
-    /// Tells all nodes which requests crash upstreams, if that has changed; returns it.
+    /// Tells all nodes which requests crash upstreams, if that has changed and was not announced just now; returns it.
     fn announce(&self, (verdicts, has_changed): (RequestVerdicts, bool)) -> RequestVerdicts {
-        if has_changed && let Some(sink) = self.sink() {
+        if has_changed
+            && self.may_announce()
+            && let Some(sink) = self.sink()
+        {
             let nodes: Vec<VmId> = self.lock().last_seen.keys().cloned().collect();
             for node in nodes {
                 sink.announce(&node, &verdicts);
@@ -135,6 +142,16 @@
         verdicts
     }
 
+    fn may_announce(&self) -> bool {
+        let last = self.last_announcement.lock();
+        let mut last = last.unwrap_or_else(PoisonError::into_inner);
+        let is_due = last.is_none_or(|at| at.elapsed() >= MIN_ANNOUNCE_INTERVAL);
+        if is_due {
+            *last = Some(Instant::now());
+        }
+        is_due
+    }
+
     fn sink(&self) -> Option<Arc<dyn DecisionSink>> {
         let sink = self.sink.lock().unwrap_or_else(PoisonError::into_inner);
         sink.clone()
--- a/crates/oleanderpost-serving/src/scheduler_message.rs
+++ b/crates/oleanderpost-serving/src/scheduler_message.rs
@@ -77,7 +77,7 @@
         /// Requests that crash upstreams, for a scheduler that does not know them yet.
         #[serde(default)]
         request_quarantines: Vec<RequestQuarantine>,
-        /// Recent crashes that the sender has seen itself, again in case the scheduler is another one.
+        /// Recent crashes that the sender has seen itself, for a scheduler that takes over.
         #[serde(default)]
         request_crashes: Vec<RequestCrash>,
         /// Address for requests that peers relay; `None` if the sender accepts none.
