Don't take an event over the size limit for a broken connection

Cause: such an event was reported as a broken connection. It has an error of its own now, and no longer counts as a crash for prompt parts either.

--- a/crates/oleanderpost-serving/src/event_reader.rs
+++ b/crates/oleanderpost-serving/src/event_reader.rs
@@ -29,9 +29,12 @@
     /// An engine that holds part of the prompt no longer responds.
     #[error("an engine that holds part of the prompt no longer responds")]
     EngineLost,
-    /// The stream is malformed, or its connection failed.
+    /// An event is longer than any of a working engine.
+    #[error("event exceeds the size limit")]
+    TooLarge,
+    /// The connection failed, or ended inside an event.
     #[error("{0}")]
-    Stream(String),
+    Disconnected(String),
 }
 
 impl EventError {
@@ -42,7 +45,7 @@
         upstream: &UpstreamId,
     ) -> AttemptError {
         match self {
-            Self::Stream(_) => AttemptError::new_disconnected(step, upstream, self),
+            Self::Disconnected(_) => AttemptError::new_disconnected(step, upstream, self),
             _ => AttemptError::new(step, upstream, RunStatus::MayHaveRun, self),
         }
     }
@@ -50,8 +53,8 @@
     /// How the scheduler is to count the request.
     pub(crate) fn work_end(&self) -> WorkEnd {
         match self {
-            Self::Stream(_) => WorkEnd::Disconnected,
-            Self::TimedOut | Self::EngineLost => WorkEnd::Failed,
+            Self::Disconnected(_) => WorkEnd::Disconnected,
+            Self::TimedOut | Self::EngineLost | Self::TooLarge => WorkEnd::Failed,
         }
     }
 }
@@ -75,16 +78,15 @@
     pub(crate) async fn next_event(&mut self, limit: Duration) -> Result<StreamItem, EventError> {
         let next = timeout(limit, self.read_event()).await;
         next.map_err(|_| EventError::TimedOut)?
-            .map_err(EventError::Stream)
     }
 
-    async fn read_event(&mut self) -> Result<StreamItem, String> {
+    async fn read_event(&mut self) -> Result<StreamItem, EventError> {
         loop {
             if let Some(event) = self.splitter.next_event() {
                 return Ok(StreamItem::Event(event));
             }
             if self.splitter.buffered_len() > MAX_EVENT_BYTES {
-                return Err("event exceeds the size limit".to_owned());
+                return Err(EventError::TooLarge);
             }
             match self.body.frame().await {
                 Some(Ok(frame)) => {
@@ -92,9 +94,10 @@
                         self.splitter.push(&bytes);
                     }
                 }
-                Some(Err(e)) => return Err(e.to_string()),
+                Some(Err(e)) => return Err(EventError::Disconnected(e.to_string())),
                 None if self.splitter.buffered_len() > 0 => {
-                    return Err("stream ended in the middle of an event".to_owned());
+                    let cause = "stream ended in the middle of an event";
+                    return Err(EventError::Disconnected(cause.to_owned()));
                 }
                 None => return Ok(StreamItem::End),
             }
