--- a/crates/oleanderpost-serving/src/change_log.rs
+++ b/crates/oleanderpost-serving/src/change_log.rs
@@ -7,8 +7,8 @@
 /// Maximum number of logged steps and changes of upstreams together: several times the entries of a large fleet.
 const MAX_ENTRIES: usize = 4_096;
 
-/// Maximum number of changes sent to a peer. One node sends them to all others, so more of them, and whole
-/// configurations, would fill the link of a small VM; the store sends them to each node by itself.
+/// Maximum number of changes sent to a peer. One node sends them to all others, so more of them would fill the link of
+/// a small VM; the store sends them to each node by itself.
 const MAX_SENT_CHANGES: usize = 128;
 
 /// Changes between two positions of the store.
@@ -25,6 +25,15 @@
     }
 }
 
+/// What has changed since a position.
+#[derive(Debug, PartialEq)]
+pub(crate) struct LoggedChanges {
+    /// Changes of upstreams, in order.
+    pub(crate) upstreams: Vec<UpstreamChange>,
+    /// Whether the configuration has changed.
+    pub(crate) config_changed: bool,
+}
+
 /// Latest changes that a node has applied, for peers that follow it in place of the store.
 #[derive(Debug, Default)]
 pub(crate) struct ChangeLog {
@@ -67,19 +76,23 @@
         };
     }
 
-    /// Changes of upstreams since `after`; `None` if the log does not reach back that far, or if they are to be read
-    /// from the store: configurations, and more than [`MAX_SENT_CHANGES`].
+    /// Changes since `after`; `None` if the log does not reach back that far, or if there are more than
+    /// [`MAX_SENT_CHANGES`], which are to be read from the store.
     ///
     /// May contain changes before `after`, in the order in which they were made; the last one of an entry counts.
-    pub(crate) fn since(&self, after: StorePosition) -> Option<Vec<UpstreamChange>> {
+    pub(crate) fn since(&self, after: StorePosition) -> Option<LoggedChanges> {
         self.base.filter(|base| *base <= after)?;
         let start = self.steps.iter().rposition(|step| step.from <= after);
         let steps = self.steps.range(start.unwrap_or(0)..);
         let count: usize = steps.clone().map(|step| step.upstreams.len()).sum();
-        if count > MAX_SENT_CHANGES || steps.clone().any(|step| step.config_changed) {
+        if count > MAX_SENT_CHANGES {
             return None;
         }
+        let config_changed = steps.clone().any(|step| step.config_changed);
         let upstreams = steps.flat_map(|step| step.upstreams.iter().cloned());
-        Some(upstreams.collect())
+        Some(LoggedChanges {
+            upstreams: upstreams.collect(),
+            config_changed,
+        })
     }
 }
--- a/crates/oleanderpost-serving/src/discovery.rs
+++ b/crates/oleanderpost-serving/src/discovery.rs
@@ -220,13 +220,22 @@
         let (Some(peers), Some(after)) = (&self.peers, self.last_position) else {
             return false;
         };
-        let Some((requested_at, changes)) = peers.fetch_changes(after).await else {
+        let Some(own_config) = self.state.config() else {
+            return false;
+        };
+        let fetched = peers.fetch_changes(after, own_config.version()).await;
+        let Some((requested_at, changes)) = fetched else {
             return false;
         };
         let evidence = changes.evidence;
         if evidence.position < after || evidence.position.era != after.era {
             return false;
         }
+        let config = match changes.config.map(|delta| own_config.with_delta(delta)) {
+            Some(None) => return false,
+            Some(config) => config,
+            None => None,
+        };
         if changes.missing_grace_ms > 0 {
             let grace = Duration::from_millis(changes.missing_grace_ms);
             self.state
@@ -234,7 +243,7 @@
         }
         let update = DiscoveryUpdate {
             position: evidence.position,
-            config: None,
+            config,
             upstreams: changes.upstreams,
         };
         self.apply_update(update, false);
--- a/crates/oleanderpost-serving/src/lib.rs
+++ b/crates/oleanderpost-serving/src/lib.rs
@@ -32,6 +32,8 @@
 mod caller_server;
 mod candidate;
 mod change_log;
+mod config_delta;
+mod config_history;
 mod crash_ledger;
 mod crash_watch;
 mod decision;
@@ -128,6 +130,7 @@
     boot_time::BootTime,
     caller_limits::CallerLimits,
     caller_server::CallerServer,
+    config_delta::ConfigDelta,
     crash_ledger::CrashLedger,
     crash_watch::CrashWatch,
     decision::Decision,
--- a/crates/oleanderpost-serving/src/node.rs
+++ b/crates/oleanderpost-serving/src/node.rs
@@ -271,9 +271,15 @@
             let state = self.state.state_for_peers().map(Box::new);
             return Some(SchedulerMessage::State { state });
         }
-        if let SchedulerMessage::AskChanges { after, era } = msg {
+        if let SchedulerMessage::AskChanges {
+            after,
+            era,
+            config_version,
+        } = msg
+        {
             let after = StorePosition::new(era, after);
-            let changes = self.state.changes_for_peers(after).map(Box::new);
+            let changes = self.state.changes_for_peers(after, config_version);
+            let changes = changes.map(Box::new);
             return Some(SchedulerMessage::Changes { changes });
         }
         if let SchedulerMessage::Signals { signals } = &msg {
--- a/crates/oleanderpost-serving/src/node_state.rs
+++ b/crates/oleanderpost-serving/src/node_state.rs
@@ -14,9 +14,10 @@
 use tokio::sync::Notify;
 
 use crate::{
-    BootTime, Drain, Evidence, LogRateLimiter, PeerChanges, PeerEvidence, PeerState, RequestId,
-    RequestRate, ResponseHead, ServiceName, ServingConfig, SignalTable, StoreHistory,
+    BootTime, ConfigDelta, Drain, Evidence, LogRateLimiter, PeerChanges, PeerEvidence, PeerState,
+    RequestId, RequestRate, ResponseHead, ServiceName, ServingConfig, SignalTable, StoreHistory,
     StorePosition, Upstream, UpstreamDirectory, UpstreamId, UpstreamSignal, change_log::ChangeLog,
+    config_history::ConfigHistory,
 };
 
 /// State of a node: the applied configuration, the upstreams, and the evidence that both are current.
@@ -35,6 +36,7 @@
     /// Notifies tasks that wait for the first configuration.
     config_applied: Notify,
     change_log: Mutex<ChangeLog>,
+    config_history: Mutex<ConfigHistory>,
     /// End of the grace period for entries that are missing since an outage of the store.
     missing_grace_end: Mutex<Option<BootTime>>,
     signals: Mutex<SignalTable>,
@@ -61,6 +63,7 @@
             peer_evidence_recorded: Notify::new(),
             config_applied: Notify::new(),
             change_log: Mutex::default(),
+            config_history: Mutex::default(),
             missing_grace_end: Mutex::default(),
             signals: Mutex::new(SignalTable::new(rand::rng().random())),
             signals_changed: Notify::new(),
@@ -88,7 +91,9 @@
             version = config.version(), before = previous.map_or(0, |previous| previous.version())
         });
         self.history().note_version(config.version());
-        self.config.store(Some(Arc::new(config)));
+        let config = Arc::new(config);
+        self.config_history().record(Arc::clone(&config));
+        self.config.store(Some(config));
         self.config_applied.notify_waiters();
         true
     }
@@ -207,6 +212,12 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn config_history(&self) -> MutexGuard<'_, ConfigHistory> {
+        self.config_history
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// End of the grace period for entries that are missing since an outage of the store, if it lasts.
     pub(crate) fn missing_grace_end(&self) -> Option<BootTime> {
         let end = *self
@@ -225,18 +236,30 @@
         *current = current.max(Some(end));
     }
 
-    /// Changes of upstreams since `after` to send to peers; `None` if peers should read the store.
+    /// Changes since `after` to send to a peer with this version of the configuration; `None` if the peer should read
+    /// the store. A peer without a version can't apply differences between configurations.
     #[must_use]
-    pub fn changes_for_peers(&self, after: StorePosition) -> Option<PeerChanges> {
+    pub fn changes_for_peers(
+        &self,
+        after: StorePosition,
+        config_version: Option<u64>,
+    ) -> Option<PeerChanges> {
         let evidence = self.evidence_for_peers()?;
-        let upstreams = self.change_log().since(after)?;
+        let changes = self.change_log().since(after)?;
+        let is_current = config_version.is_none_or(|version| version == evidence.version);
+        let config = match config_version {
+            None if changes.config_changed => return None,
+            Some(version) if !is_current => Some(self.config_history().delta_from(version)?),
+            _ => None,
+        };
         let now = BootTime::now();
         let grace = self
             .missing_grace_end()
             .map_or(Duration::ZERO, |end| end.since(now));
         Some(PeerChanges {
             evidence,
-            upstreams,
+            upstreams: changes.upstreams,
+            config: config.map(|delta| ConfigDelta::clone(&delta)),
             missing_grace_ms: u64::try_from(grace.as_millis()).unwrap_or(u64::MAX),
         })
     }
--- a/crates/oleanderpost-serving/src/peer_state_source.rs
+++ b/crates/oleanderpost-serving/src/peer_state_source.rs
@@ -8,9 +8,13 @@
     /// Requests the state of a peer. Returns it with the time of the request, or `None` if no peer responds.
     async fn fetch_state(&self) -> Option<(BootTime, PeerState)>;
 
-    /// Requests the changes since `after` from the peer whose evidence this node receives. Returns them with
-    /// the time of the request, or `None` if the peer does not have them.
-    async fn fetch_changes(&self, after: StorePosition) -> Option<(BootTime, PeerChanges)>;
+    /// Requests the changes since `after` and since this version of the configuration from the peer whose evidence
+    /// this node receives. Returns them with the time of the request, or `None` if the peer does not have them.
+    async fn fetch_changes(
+        &self,
+        after: StorePosition,
+        config_version: u64,
+    ) -> Option<(BootTime, PeerChanges)>;
 
     /// Whether this node should follow a peer in place of the store: the fleet is large, and other nodes read
     /// the store.
--- a/crates/oleanderpost-serving/src/route.rs
+++ b/crates/oleanderpost-serving/src/route.rs
@@ -67,6 +67,11 @@
         }
     }
 
+    /// Host and prefix, which identify the route in a configuration.
+    pub(crate) fn key(&self) -> (&str, &str) {
+        (&self.host, &self.prefix)
+    }
+
     /// Conditions under which requests of this route may be retried.
     #[must_use]
     pub fn retry_terms(&self) -> RetryTerms {
--- a/crates/oleanderpost-serving/src/scheduler_client.rs
+++ b/crates/oleanderpost-serving/src/scheduler_client.rs
@@ -610,12 +610,17 @@
         None
     }
 
-    async fn fetch_changes(&self, after: StorePosition) -> Option<(BootTime, PeerChanges)> {
+    async fn fetch_changes(
+        &self,
+        after: StorePosition,
+        config_version: u64,
+    ) -> Option<(BootTime, PeerChanges)> {
         let leader = self.leader();
         let sent_at = BootTime::now();
         let msg = SchedulerMessage::AskChanges {
             after: after.revision,
             era: after.era,
+            config_version: Some(config_version),
         };
         match self.exchange(&leader, msg, STATE_TIMEOUT).await {
             Some(SchedulerMessage::Changes {
--- a/crates/oleanderpost-serving/src/scheduler_message.rs
+++ b/crates/oleanderpost-serving/src/scheduler_message.rs
@@ -156,6 +156,9 @@
         /// Era of that revision.
         #[serde(default)]
         era: u64,
+        /// Version of the sender's configuration; `None` if it can't apply differences between configurations.
+        #[serde(default)]
+        config_version: Option<u64>,
     },
     /// Reply to [`AskChanges`](Self::AskChanges).
     Changes {
--- a/crates/oleanderpost-serving/src/serving_config.rs
+++ b/crates/oleanderpost-serving/src/serving_config.rs
@@ -1,10 +1,13 @@
 //! [`ServingConfig`].
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+};
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Account, CallerLimits, Route, Service, ServiceName};
+use crate::{Account, CallerLimits, ConfigDelta, Route, Service, ServiceName};
 
 /// One version of the operator's configuration: routes, services, client accounts and limits.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -36,7 +39,11 @@
             host_routes.push(Arc::new(route));
         }
         for host_routes in self.routes.values_mut() {
-            host_routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+            // Sorted completely, so that equal configurations compare as equal.
+            host_routes.sort_by(|a, b| {
+                let by_len = b.prefix.len().cmp(&a.prefix.len());
+                by_len.then_with(|| a.prefix.cmp(&b.prefix))
+            });
         }
         self
     }
@@ -75,6 +82,87 @@
         self
     }
 
+    /// Difference from `old` to this configuration.
+    #[must_use]
+    pub fn delta_from(&self, old: &Self) -> ConfigDelta {
+        let old_routes: HashMap<_, _> = old.all_routes().map(|r| (r.key(), r)).collect();
+        let changed_routes = self
+            .all_routes()
+            .filter(|route| old_routes.get(&route.key()) != Some(route));
+        let kept: HashSet<_> = self.all_routes().map(|route| route.key()).collect();
+        let removed_routes = old
+            .all_routes()
+            .map(|route| route.key())
+            .filter(|key| !kept.contains(key));
+        let changed_keys = self
+            .accounts
+            .iter()
+            .filter(|(key, account)| old.accounts.get(*key) != Some(*account));
+        let removed_keys = old
+            .accounts
+            .keys()
+            .filter(|key| !self.accounts.contains_key(*key));
+        let services = self.services.iter();
+        ConfigDelta {
+            from: old.version,
+            version: self.version,
+            routes: changed_routes.map(|route| Route::clone(route)).collect(),
+            removed_routes: removed_routes
+                .map(|(host, prefix)| (host.to_owned(), prefix.to_owned()))
+                .collect(),
+            services: (self.services != old.services).then(|| {
+                services
+                    .map(|(name, service)| (name.clone(), service.clone()))
+                    .collect()
+            }),
+            keys: changed_keys
+                .map(|(key, account)| (key.clone(), Account::clone(account)))
+                .collect(),
+            removed_keys: removed_keys.cloned().collect(),
+            keyed: self.keyed,
+            limits: self.limits,
+        }
+    }
+
+    /// The configuration that `delta` leads to; `None` if `delta` applies to another version.
+    #[must_use]
+    pub fn with_delta(&self, delta: ConfigDelta) -> Option<Self> {
+        if delta.from != self.version {
+            return None;
+        }
+        let mut config = self.clone();
+        config.version = delta.version;
+        config.keyed = delta.keyed;
+        config.limits = delta.limits;
+        let changed = delta
+            .routes
+            .iter()
+            .map(|route| (route.host.clone(), route.prefix.clone()));
+        let replaced: HashSet<_> = changed.chain(delta.removed_routes).collect();
+        for host_routes in config.routes.values_mut() {
+            host_routes
+                .retain(|route| !replaced.contains(&(route.host.clone(), route.prefix.clone())));
+        }
+        config
+            .routes
+            .retain(|_, host_routes| !host_routes.is_empty());
+        if let Some(services) = delta.services {
+            config.services = services.into_iter().collect();
+        }
+        for key in &delta.removed_keys {
+            config.accounts.remove(key);
+        }
+        let keys = delta.keys.into_iter();
+        config
+            .accounts
+            .extend(keys.map(|(key, account)| (key, Arc::new(account))));
+        Some(config.with_routes(delta.routes))
+    }
+
+    fn all_routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.routes.values().flatten()
+    }
+
     /// Version; a configuration replaces any with a smaller version.
     #[must_use]
     pub fn version(&self) -> u64 {
