Let followers ask an unavailable store only each 2 s

Cause: while the store is down, each node of a large fleet asked it each 600 ms, though the nodes that read the store for the others show with the next heartbeat that it is back. Change: the delay of nodes that may follow a peer grows to 2 s, spread by a fifth, and ends when a peer shows recent evidence. The peer's grace period for missing entries replaces the follower's own.

--- a/crates/oleanderpost-serving/src/discovery.rs
+++ b/crates/oleanderpost-serving/src/discovery.rs
@@ -42,6 +42,10 @@
 /// Base and maximum of the exponential delay after a failed request.
 const BACKOFF_RANGE: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_millis(600));
+/// Maximum of that delay on a node that may follow a peer: the peer's next heartbeat shows when the store responds
+/// again, and most nodes of a large fleet would otherwise ask it in vain twice a second. Below the limit on the age of
+/// evidence, for nodes that have lost their peers.
+const FOLLOWER_MAX_BACKOFF: Duration = Duration::from_millis(2_000);
 /// Time over which the nodes of a large fleet spread their reads of the full state in a new era. No response counts as
 /// evidence for longer than that, so it costs nothing.
 const NEW_ERA_READ_SPREAD: Duration = Duration::from_millis(1_000);
@@ -178,6 +182,8 @@
             }
             if !following {
                 following = true;
+                // The peer passes on the grace period after an outage; the next own request must not begin another.
+                self.consecutive_failures = 0;
                 spdlog::info!("following a peer in place of the store", kv: { position: = self.state.position() });
             }
             self.remove_expired_upstreams();
@@ -328,8 +334,26 @@
             spdlog::warn!("discovery store unavailable", kv: { error: = e, position: = self.last_position.unwrap_or_default() });
         }
         self.consecutive_failures += 1;
-        let delay = BACKOFF_RANGE.0 * (1 << self.consecutive_failures.min(4));
-        sleep(delay.min(BACKOFF_RANGE.1)).await;
+        let delay = BACKOFF_RANGE.0 * (1 << self.consecutive_failures.min(5));
+        if !self.may_follow() {
+            sleep(delay.min(BACKOFF_RANGE.1)).await;
+            return;
+        }
+        let spread = rand::rng().random_range(0.8..1.2);
+        let delay = delay.min(FOLLOWER_MAX_BACKOFF).mul_f64(spread);
+        let _ = timeout(delay, self.peer_has_store()).await;
+    }
+
+    /// Completes when evidence from a peer shows that the store responds to it.
+    async fn peer_has_store(&self) {
+        loop {
+            self.state.peer_evidence_recorded().await;
+            let evidence = self.state.recent_peer_evidence(PEER_CONFIRMATION_MAX_AGE);
+            let max_age = FOLLOWED_WATCH_WAIT + PEER_CHECK_INTERVAL;
+            if evidence.is_some_and(|e| Duration::from_millis(e.age_ms) <= max_age) {
+                return;
+            }
+        }
     }
 
     /// Copies the state of a peer if the store stays unavailable to this node and the peer has a later
--- a/crates/oleanderpost-serving/tests/following.rs
+++ b/crates/oleanderpost-serving/tests/following.rs
@@ -439,3 +439,26 @@
     let changes = pair.peer.state.changes_for_peers(position, Some(7));
     assert!(changes.is_none());
 }
+
+#[tokio::test]
+async fn follower_asks_an_unavailable_store_seldom_and_returns_with_its_peer() {
+    let pair = Pair::start().await;
+    pair.change_both(&UpstreamChange::Put(upstream("w", false)));
+    wait_until(ARRIVAL_TIME, "added", || pair.is_usable("w")).await;
+    for store in [&pair.peer_store, &pair.own_store] {
+        store.unresponsive.store(true, Ordering::Relaxed);
+    }
+    sleep(Duration::from_secs(6)).await;
+    let before = pair.own_requests();
+    sleep(Duration::from_secs(4)).await;
+    let requests = pair.own_requests() - before;
+    assert!(requests <= 3, "{requests} requests in 4 s");
+    assert!(!pair.state.is_fresh());
+    pair.peer_store.unresponsive.store(false, Ordering::Relaxed);
+    let fresh = || pair.state.is_fresh();
+    wait_until(LOST_STORE_ARRIVAL_TIME, "fresh", fresh).await;
+    pair.peer_store
+        .change(UpstreamChange::Removed(UpstreamId::new("w")));
+    let limit = LOST_STORE_ARRIVAL_TIME + Duration::from_secs(2);
+    wait_until(limit, "removed", || !pair.is_usable("w")).await;
+}
