--- a/crates/oleanderpost-serving/src/change_log.rs
+++ b/crates/oleanderpost-serving/src/change_log.rs
@@ -2,9 +2,9 @@
 
 use std::collections::VecDeque;
 
-use crate::{StorePosition, UpstreamChange};
+use crate::{EvacuationChange, StorePosition, UpstreamChange};
 
-/// Maximum number of logged steps and changes of upstreams together: several times the entries of a large fleet.
+/// Maximum number of logged steps and changes together: several times the entries of a large fleet.
 const MAX_ENTRIES: usize = 4_096;
 
 /// Maximum number of changes sent to a peer. One node sends them to all others, so more of them would fill the link of
@@ -17,11 +17,16 @@
     from: StorePosition,
     config_changed: bool,
     upstreams: Vec<UpstreamChange>,
+    evacuations: Vec<EvacuationChange>,
 }
 
 impl Step {
+    fn changes(&self) -> usize {
+        self.upstreams.len() + self.evacuations.len()
+    }
+
     fn entries(&self) -> usize {
-        self.upstreams.len() + 1
+        self.changes() + 1
     }
 }
 
@@ -30,6 +35,8 @@
 pub(crate) struct LoggedChanges {
     /// Changes of upstreams, in order.
     pub(crate) upstreams: Vec<UpstreamChange>,
+    /// Changes of evacuations, in order.
+    pub(crate) evacuations: Vec<EvacuationChange>,
     /// Whether the configuration has changed.
     pub(crate) config_changed: bool,
 }
@@ -50,12 +57,14 @@
         from: StorePosition,
         config_changed: bool,
         upstreams: &[UpstreamChange],
+        evacuations: &[EvacuationChange],
     ) {
         self.base.get_or_insert(from);
         let step = Step {
             from,
             config_changed,
             upstreams: upstreams.to_vec(),
+            evacuations: evacuations.to_vec(),
         };
         self.entries += step.entries();
         self.steps.push_back(step);
@@ -84,14 +93,16 @@
         self.base.filter(|base| *base <= after)?;
         let start = self.steps.iter().rposition(|step| step.from <= after);
         let steps = self.steps.range(start.unwrap_or(0)..);
-        let count: usize = steps.clone().map(|step| step.upstreams.len()).sum();
+        let count: usize = steps.clone().map(Step::changes).sum();
         if count > MAX_SENT_CHANGES {
             return None;
         }
         let config_changed = steps.clone().any(|step| step.config_changed);
-        let upstreams = steps.flat_map(|step| step.upstreams.iter().cloned());
+        let upstreams = steps.clone().flat_map(|step| &step.upstreams);
+        let evacuations = steps.flat_map(|step| &step.evacuations);
         Some(LoggedChanges {
-            upstreams: upstreams.collect(),
+            upstreams: upstreams.cloned().collect(),
+            evacuations: evacuations.cloned().collect(),
             config_changed,
         })
     }
