Send a request answered with 421 elsewhere without penalty for the upstream

A 421 marked the process as shutting down on the node that got it, so that the node never used it again. A 421 says that another process has the address, or that this one refuses; the latter may be cold or new, and the former shows in the store. The request has not run, goes to another upstream at once, and the upstream is excluded for it only.

Mutations with which cold_upstreams.rs (platform) fails: the process is marked as leaving; the balancer counts the 421 as an error.

--- a/crates/oleanderpost-serving/src/buffered_proxy.rs
+++ b/crates/oleanderpost-serving/src/buffered_proxy.rs
@@ -10,8 +10,11 @@
 
 use crate::{
     AttemptError, AttemptHeaders, Attempts, BootTime, EntryContext, Rejection, ResponseBody,
-    RunStatus, Upstream, UpstreamId, admitted_request::AdmittedRequest, peer_relay::PeerRelay,
-    plain_selector::PlainSelector, upstream_client::NO_PATH_STEP,
+    RunStatus, Upstream, UpstreamId,
+    admitted_request::AdmittedRequest,
+    peer_relay::PeerRelay,
+    plain_selector::PlainSelector,
+    upstream_client::{MISDIRECTED_STEP, NO_PATH_STEP},
     upstream_response::caller_response,
 };
 
@@ -148,7 +151,7 @@
         self.tried_upstreams.push(e.upstream.clone());
         if e.ran == RunStatus::InstanceGone {
             self.entry.state.directory().mark_leaving(&e.upstream);
-        } else if e.step != "check" && e.step != NO_PATH_STEP {
+        } else if !matches!(e.step, "check" | NO_PATH_STEP | MISDIRECTED_STEP) {
             self.entry.balancer.note_error(e, BootTime::now());
         }
         let upstream = self.entry.state.usable_upstream(&e.upstream);
--- a/crates/oleanderpost-serving/src/stream_proxy.rs
+++ b/crates/oleanderpost-serving/src/stream_proxy.rs
@@ -18,7 +18,7 @@
     in_progress_guard::InProgressGuard,
     peer_relay::PeerRelay,
     placement::Placement,
-    upstream_client::NO_PATH_STEP,
+    upstream_client::{MISDIRECTED_STEP, NO_PATH_STEP},
     upstream_pool::UpstreamConnection,
     upstream_response::{UpstreamResponse, caller_response},
 };
@@ -513,7 +513,7 @@
 /// How the scheduler is to count a failed attempt.
 fn work_end(e: &AttemptError) -> WorkEnd {
     match e.ran {
-        _ if e.step == "check" || e.step == NO_PATH_STEP => WorkEnd::Cancelled,
+        _ if matches!(e.step, "check" | NO_PATH_STEP | MISDIRECTED_STEP) => WorkEnd::Cancelled,
         RunStatus::NotRun if e.step == "refused" => WorkEnd::Shed,
         RunStatus::MayHaveRun if e.step == "send" => WorkEnd::Disconnected,
         _ => WorkEnd::Failed,
--- a/crates/oleanderpost-serving/src/upstream_client.rs
+++ b/crates/oleanderpost-serving/src/upstream_client.rs
@@ -21,6 +21,9 @@
 const MAX_DISCARDED_BYTES: usize = 64 << 10;
 /// Step of attempts that failed because this node reaches no upstream; says nothing about the upstream.
 pub(crate) const NO_PATH_STEP: &str = "no path";
+/// Step of attempts that were answered with status 421. It says nothing about the expected process: another one may
+/// have its address for a moment, or it may be cold. Its entry tells whether it is gone.
+pub(crate) const MISDIRECTED_STEP: &str = "misdirected";
 
 /// Sends requests to upstreams.
 pub(crate) struct UpstreamClient {
@@ -168,10 +171,10 @@
         if head.wrong_upstream {
             self.discard(response);
             return Err(AttemptError::new(
-                "refused",
+                MISDIRECTED_STEP,
                 &upstream.id,
-                RunStatus::InstanceGone,
-                "another upstream has this address",
+                RunStatus::NotRun,
+                "another process has this address, or it refuses the request",
             ));
         }
         self.state.note_response(upstream, head, sent_at);
