--- a/crates/oleanderpost-serving/src/admin_server.rs
+++ b/crates/oleanderpost-serving/src/admin_server.rs
@@ -32,6 +32,8 @@
     evacuated: Vec<String>,
     /// What upstreams state about themselves.
     signals: Vec<String>,
+    /// Upstreams that are cold, and for how long.
+    cold: Vec<String>,
     /// Prompt parts and requests that crash upstreams.
     quarantines: Vec<String>,
     scheduler: String,
@@ -147,6 +149,7 @@
             store_era: state.position().era,
             evacuated_data_centres: directory.evacuated().count(),
             limited_upstreams: state.signals().limited_count(),
+            cold_upstreams: state.cold_upstreams().len(),
             quarantines: self.quarantines().len(),
             in_progress: self.entry.in_progress(),
             waiting,
@@ -159,6 +162,7 @@
         let state = &self.entry.state;
         let (scheduler_waiting, scheduler_placed) = self.scheduler_host.counts();
         let directory = state.directory().clone();
+        let cold = state.cold_upstreams();
         let dump = Dump {
             ready: state.is_ready(),
             draining: state.active_drain().is_some(),
@@ -168,6 +172,7 @@
             upstreams: directory.ids().map(ToString::to_string).collect(),
             evacuated: directory.evacuated().map(ToString::to_string).collect(),
             signals: state.signals().describe(BootTime::now()),
+            cold: cold.iter().map(ToString::to_string).collect(),
             quarantines: self.quarantines(),
             scheduler: self.entry.scheduler.leader().to_string(),
             nodes: self.entry.scheduler.nodes(),
--- a/crates/oleanderpost-serving/src/buffered_proxy.rs
+++ b/crates/oleanderpost-serving/src/buffered_proxy.rs
@@ -14,7 +14,7 @@
     admitted_request::AdmittedRequest,
     peer_relay::PeerRelay,
     plain_selector::PlainSelector,
-    upstream_client::{EVACUATED_STEP, NO_PATH_STEP},
+    upstream_client::{EVACUATED_STEP, MISDIRECTED_STEP, NO_PATH_STEP},
     upstream_response::caller_response,
 };
 
@@ -156,7 +156,10 @@
         self.tried_upstreams.push(e.upstream.clone());
         if e.ran == RunStatus::InstanceGone {
             self.entry.state.directory().mark_leaving(&e.upstream);
-        } else if !["check", EVACUATED_STEP, NO_PATH_STEP].contains(&e.step) {
+        } else if !matches!(
+            e.step,
+            "check" | EVACUATED_STEP | NO_PATH_STEP | MISDIRECTED_STEP
+        ) {
             self.entry.balancer.note_error(e, BootTime::now());
         }
         let upstream = self.entry.state.usable_upstream(&e.upstream);
--- a/crates/oleanderpost-serving/src/discovery.rs
+++ b/crates/oleanderpost-serving/src/discovery.rs
@@ -249,7 +249,7 @@
         }
         let config = match changes.config.map(|delta| own_config.with_delta(delta)) {
             Some(None) => return false,
-            Some(config) => config,
+            Some(config) => config.map(|config| config.with_cold_limits_of(&own_config)),
             None => None,
         };
         // An earlier version advances past evacuations without passing them on.
@@ -410,9 +410,13 @@
             let evacuated = peer
                 .evacuated
                 .unwrap_or_else(|| self.state.directory().evacuated().cloned().collect());
+            let config = match self.state.config() {
+                Some(own) => peer.config.with_cold_limits_of(&own),
+                None => peer.config,
+            };
             let update = DiscoveryUpdate {
                 position: evidence.position,
-                config: Some(peer.config),
+                config: Some(config),
                 upstreams: peer
                     .upstreams
                     .into_iter()
@@ -495,6 +499,7 @@
             for id in missing {
                 changed |= self.remove_upstream(&id, grace_end);
             }
+            self.state.directory().set_complete();
         }
         self.last_position = Some(update.position);
         if changed {
--- a/crates/oleanderpost-serving/src/lib.rs
+++ b/crates/oleanderpost-serving/src/lib.rs
@@ -32,6 +32,9 @@
 mod caller_server;
 mod candidate;
 mod change_log;
+mod cold_limit;
+mod cold_times;
+mod cold_upstream;
 mod config_delta;
 mod config_history;
 mod crash_ledger;
@@ -42,6 +45,7 @@
 mod drain;
 mod engine_control;
 mod engine_finder;
+mod engine_limit;
 mod engine_load;
 mod engine_profile;
 mod engine_slowdown;
@@ -131,6 +135,9 @@
     boot_time::BootTime,
     caller_limits::CallerLimits,
     caller_server::CallerServer,
+    cold_limit::ColdLimit,
+    cold_times::MAX_COLD_TIME,
+    cold_upstream::ColdUpstream,
     config_delta::ConfigDelta,
     crash_ledger::CrashLedger,
     crash_watch::CrashWatch,
@@ -139,6 +146,7 @@
     discovery_source::{DiscoveryError, DiscoverySource, DiscoveryUpdate, UpstreamChange},
     drain::Drain,
     engine_control::{EngineControl, MaySend, ReserveAnswer},
+    engine_limit::EngineLimit,
     engine_load::{EngineLoad, PartSpec, PlacementEstimate, RequestPart},
     engine_profile::EngineProfile,
     entry_context::EntryContext,
--- a/crates/oleanderpost-serving/src/node_gauges.rs
+++ b/crates/oleanderpost-serving/src/node_gauges.rs
@@ -21,6 +21,8 @@
     pub(crate) evacuated_data_centres: usize,
     /// Number of upstreams that limit their requests.
     pub(crate) limited_upstreams: usize,
+    /// Number of upstreams that are cold.
+    pub(crate) cold_upstreams: usize,
     /// Number of quarantines of prompt parts and requests that crash upstreams.
     pub(crate) quarantines: usize,
     /// Number of requests in progress.
@@ -42,6 +44,7 @@
     store_era: Gauge,
     evacuated_data_centres: Gauge,
     limited_upstreams: Gauge,
+    cold_upstreams: Gauge,
     quarantines: Gauge,
     in_progress: Gauge,
     waiting: Gauge,
@@ -64,6 +67,10 @@
         let evacuated_data_centres =
             gauge("evacuated_data_centres", "Data centres under evacuation");
         let limited_upstreams = gauge("limited_upstreams", "Upstreams that limit their requests");
+        let cold_upstreams = gauge(
+            "cold_upstreams",
+            "Upstreams that are cold and get a limited rate of requests",
+        );
         let quarantines = gauge(
             "quarantines",
             "Quarantines of prompt parts and requests that crash upstreams",
@@ -86,6 +93,7 @@
             store_era,
             evacuated_data_centres,
             limited_upstreams,
+            cold_upstreams,
             quarantines,
             in_progress,
             waiting,
@@ -105,6 +113,7 @@
         self.evacuated_data_centres
             .set(count(values.evacuated_data_centres));
         self.limited_upstreams.set(count(values.limited_upstreams));
+        self.cold_upstreams.set(count(values.cold_upstreams));
         self.quarantines.set(count(values.quarantines));
         self.in_progress.set(count(values.in_progress));
         self.waiting.set(count(values.waiting));
--- a/crates/oleanderpost-serving/tests/evacuation.rs
+++ b/crates/oleanderpost-serving/tests/evacuation.rs
@@ -113,6 +113,7 @@
         slots: 1,
         draining,
         started_at: Some(1),
+        cold_left_ms: None,
     }
 }
 
