Don't use a connection again after a response that does not name its request

A second copy of a response that arrives after the check of a kept connection and before the answer to the next request is read as that answer. A copy of an answer was recognized by its request identifier. A copy of a refusal has none: the next request counted as not run and was sent again, so a request that isn't idempotent ran twice.

The connection of a response without the identifier of its request is now closed.

--- a/crates/oleanderpost-serving/src/response_head.rs
+++ b/crates/oleanderpost-serving/src/response_head.rs
@@ -39,3 +39,15 @@
     /// Name of a header whose value is invalid and was ignored.
     pub invalid_header: Option<&'static str>,
 }
+
+impl ResponseHead {
+    /// Whether another request may be sent on the connection after this response.
+    ///
+    /// Some servers send a second copy of a response later. It is recognized by the identifier of its request, so the
+    /// connection of a response without one is not used again: a copy of a refusal would make the next request look as
+    /// if it had not run.
+    #[must_use]
+    pub fn allows_reuse(&self) -> bool {
+        !self.closes_connection && self.request_id.is_some()
+    }
+}
--- a/crates/oleanderpost-serving/src/stream_proxy.rs
+++ b/crates/oleanderpost-serving/src/stream_proxy.rs
@@ -465,7 +465,7 @@
             ..
         } = stream;
         placement.close(WorkEnd::Finished);
-        if !head.closes_connection {
+        if head.allows_reuse() {
             self.entry.client.release(connection, head.keep_alive);
         }
         self.entry
--- a/crates/oleanderpost-serving/src/upstream_client.rs
+++ b/crates/oleanderpost-serving/src/upstream_client.rs
@@ -196,7 +196,7 @@
             connection,
             ..
         } = response;
-        if head.closes_connection {
+        if !head.allows_reuse() {
             return;
         }
         let pool = Arc::clone(&self.pool);
--- a/crates/oleanderpost-serving/src/upstream_response.rs
+++ b/crates/oleanderpost-serving/src/upstream_response.rs
@@ -78,7 +78,7 @@
             false => BodyError::Disconnected(e.to_string()),
         })?;
         let body = body.to_bytes();
-        if !self.head.closes_connection {
+        if self.head.allows_reuse() {
             pool.release(self.connection, self.head.keep_alive);
         }
         Ok((self.parts, body))
