Don't count comment lines and empty lines of a stream as events

An engine that sent only comments or empty lines now and then did not count as stalled, and since such an event has no number, its stream could not be resumed: it lasted until the deadline of the request. Blocks without a field are now skipped, so the time limit for the next event goes on.

--- a/crates/oleanderpost-serving/src/event_reader.rs
+++ b/crates/oleanderpost-serving/src/event_reader.rs
@@ -83,7 +83,11 @@
     async fn read_event(&mut self) -> Result<StreamItem, EventError> {
         loop {
             if let Some(event) = self.splitter.next_event() {
-                return Ok(StreamItem::Event(event));
+                // An engine that sends only comments is stalled.
+                if event.has_field() {
+                    return Ok(StreamItem::Event(event));
+                }
+                continue;
             }
             if self.splitter.buffered_len() > MAX_EVENT_BYTES {
                 return Err(EventError::TooLarge);
--- a/crates/oleanderpost-serving/src/event_splitter.rs
+++ b/crates/oleanderpost-serving/src/event_splitter.rs
@@ -11,6 +11,16 @@
     pub bytes: Bytes,
 }
 
+impl Event {
+    /// Whether the event has a field. Comment lines and empty lines alone are not an event (WHATWG HTML, section
+    /// 9.2.6).
+    #[must_use]
+    pub fn has_field(&self) -> bool {
+        let mut lines = self.bytes.split(|&byte| byte == b'\n');
+        lines.any(|line| !matches!(line, [] | [b'\r'] | [b':', ..]))
+    }
+}
+
 /// Splits the bytes of an event stream (`text/event-stream`) into complete events.
 ///
 /// Events are forwarded unchanged, so only the end of an event and its `id` field are parsed.
