Close the connections of callers before a node stops

At the end of a drain, idle kept connections stayed open until the process ended. A request that arrived on one of them after the last check for requests in progress was sent to an upstream, and its caller got no answer.

After the drain the node stops accepting connections, closes each connection once it has no request, and waits for that for what is left of the drain time. Connections are now counted by a guard, so that a panic in a request does not leave one counted.

--- a/crates/oleanderpost-serving/src/caller_server.rs
+++ b/crates/oleanderpost-serving/src/caller_server.rs
@@ -4,10 +4,7 @@
     convert::Infallible,
     net::SocketAddr,
     pin::pin,
-    sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-    },
+    sync::Arc,
     time::Duration,
 };
 
@@ -19,7 +16,10 @@
     time::{sleep, timeout},
 };
 
-use crate::{CallerLimits, EntryContext, Error, RequestHandler, ResponseBody, Result};
+use crate::{
+    CallerLimits, EntryContext, Error, RequestHandler, ResponseBody, Result,
+    caller_connections::CallerConnections,
+};
 
 /// Number of connections that the operating system queues until they are accepted.
 const LISTEN_BACKLOG: u32 = 1_024;
@@ -41,7 +41,7 @@
     listener: TcpListener,
     entry: Arc<EntryContext>,
     handler: Arc<RequestHandler>,
-    open_connections: Arc<AtomicUsize>,
+    connections: Arc<CallerConnections>,
     max_connections: usize,
 }
 
@@ -59,7 +59,7 @@
             listener,
             handler: Arc::new(RequestHandler::new(Arc::clone(&entry))),
             entry,
-            open_connections: Arc::default(),
+            connections: Arc::default(),
             max_connections,
         })
     }
@@ -73,7 +73,12 @@
         local_address(&self.listener)
     }
 
-    /// Accepts connections; never returns.
+    /// The open connections.
+    pub(crate) fn connections(&self) -> &Arc<CallerConnections> {
+        &self.connections
+    }
+
+    /// Accepts connections until these are to be closed.
     ///
     /// After the start, connections wait in the listen queue for a short time until the configuration is
     /// known. Rejecting them would cost callers a retry to save a few milliseconds.
@@ -83,9 +88,13 @@
             spdlog::warn!("accepting connections without a configuration", kv: { waited_ms = CONFIG_WAIT.as_millis() as u64 });
         }
         loop {
-            match self.listener.accept().await {
+            let accepted = tokio::select! {
+                accepted = self.listener.accept() => accepted,
+                () = self.connections.closing() => return,
+            };
+            match accepted {
                 Ok((stream, _))
-                    if self.open_connections.load(Ordering::Relaxed) >= self.max_connections =>
+                    if self.connections.open() >= self.max_connections =>
                 {
                     spdlog::warn!("connection closed: too many open connections", kv: { open = self.max_connections });
                     drop(stream);
@@ -102,11 +111,11 @@
     fn spawn_connection(&self, stream: TcpStream) {
         let entry = Arc::clone(&self.entry);
         let handler = Arc::clone(&self.handler);
-        let open_connections = Arc::clone(&self.open_connections);
-        open_connections.fetch_add(1, Ordering::Relaxed);
+        let connections = Arc::clone(&self.connections);
+        let guard = connections.guard();
         tokio::spawn(async move {
-            serve_connection(stream, &entry, &handler).await;
-            open_connections.fetch_sub(1, Ordering::Relaxed);
+            let _guard = guard;
+            serve_connection(stream, &entry, &handler, &connections).await;
         });
     }
 }
@@ -115,6 +124,7 @@
     stream: TcpStream,
     entry: &Arc<EntryContext>,
     handler: &Arc<RequestHandler>,
+    connections: &CallerConnections,
 ) {
     if let Err(e) = stream.set_nodelay(true) {
         spdlog::debug!("failed to set TCP_NODELAY on a caller connection", kv: { error: = e });
@@ -127,7 +137,16 @@
         .header_read_timeout(limits.idle_timeout + IDLE_TIMEOUT_MARGIN)
         .max_buf_size(limits.header_bytes.max(MIN_READ_BUFFER) * 2)
         .serve_connection(TokioIo::new(stream), service);
-    if let Err(e) = pin!(connection).await {
+    let mut connection = pin!(connection);
+    let served = tokio::select! {
+        served = connection.as_mut() => served,
+        () = connections.closing() => {
+            // A request that has arrived is still answered.
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(e) = served {
         spdlog::debug!("caller connection closed with an error", kv: { error: = e });
     }
 }
--- a/crates/oleanderpost-serving/src/lib.rs
+++ b/crates/oleanderpost-serving/src/lib.rs
@@ -28,6 +28,7 @@
 mod body_budget;
 mod boot_time;
 mod buffered_proxy;
+mod caller_connections;
 mod caller_limits;
 mod caller_server;
 mod candidate;
--- a/crates/oleanderpost-serving/src/node.rs
+++ b/crates/oleanderpost-serving/src/node.rs
@@ -13,14 +13,14 @@
 use tokio::{
     sync::Notify,
     task::JoinSet,
-    time::{Instant, sleep},
+    time::{Instant, sleep, timeout},
 };
 
 use crate::{
     AdminServer, BootTime, CallerServer, DecisionRouter, Discovery, DiscoverySource, EngineControl,
     EntryContext, Error, NodeState, PeerStateSource, Result, SchedulerClient, SchedulerHost,
     SchedulerMessage, Settings, SignalVersion, StorePosition, UpstreamCodec, UpstreamId,
-    UpstreamSignal, node_name, node_name::NodeNameAddressBook,
+    UpstreamSignal, caller_connections::CallerConnections, node_name, node_name::NodeNameAddressBook,
 };
 
 /// Interval between updates of whether this node relays for others; heartbeats pass it on as often.
@@ -29,6 +29,9 @@
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Minimum duration of a drain: load balancers need this time to stop sending requests to the node.
 const MIN_DRAIN_TIME: Duration = Duration::from_millis(2_600);
+/// Time for closing idle connections of callers at the end of a drain that took all of its time. Less than what the
+/// drain time leaves of the time until the process is killed.
+const MIN_CLOSE_TIME: Duration = Duration::from_millis(100);
 /// Time limit for closing the links to other nodes.
 const LINKS_CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Interval between clean-ups of state that belongs to removed upstreams.
@@ -59,6 +62,7 @@
     settings: Mutex<Settings>,
     callers_address: SocketAddr,
     admin_address: SocketAddr,
+    connections: Arc<CallerConnections>,
     tasks: JoinSet<()>,
 }
 
@@ -114,6 +118,7 @@
         let changed = Arc::new(Notify::new());
         let discovery = Discovery::new(platform.source, Arc::clone(&state), Arc::clone(&changed))
             .with_peers(Arc::clone(&scheduler) as Arc<dyn PeerStateSource>);
+        let connections = Arc::clone(caller_server.connections());
         let mut tasks = JoinSet::new();
         tasks.spawn(caller_server.run());
         tasks.spawn(admin_server.run());
@@ -139,6 +144,7 @@
             settings: Mutex::new(settings.clone()),
             callers_address,
             admin_address,
+            connections,
             tasks,
         })
     }
@@ -198,7 +204,8 @@
     }
 
     /// Drains the node and stops it: reports that the node is not ready, and waits until the requests in
-    /// progress have ended or the drain time is over.
+    /// progress have ended or the drain time is over. Then closes the connections of callers; requests that have just
+    /// arrived on them are still answered.
     pub async fn close(mut self) {
         spdlog::info!("draining", kv: { in_progress = self.entry.in_progress() });
         let drain_time = self
@@ -216,6 +223,11 @@
             }
             sleep(DRAIN_POLL_INTERVAL).await;
         }
+        let time_left = drain_time.saturating_sub(started_at.elapsed());
+        let closed = timeout(time_left.max(MIN_CLOSE_TIME), self.connections.close()).await;
+        if closed.is_err() {
+            spdlog::warn!("stopping with open connections", kv: { open = self.connections.open() });
+        }
         self.tasks.shutdown().await;
         self.links.close(LINKS_CLOSE_TIMEOUT).await;
         spdlog::info!("stopped", kv: { in_progress = self.entry.in_progress() });
