--- a/crates/oleanderpost-serving/src/lib.rs
+++ b/crates/oleanderpost-serving/src/lib.rs
@@ -28,6 +28,7 @@
 mod body_budget;
 mod boot_time;
 mod buffered_proxy;
+mod caller_connections;
 mod caller_limits;
 mod caller_server;
 mod candidate;
@@ -110,6 +111,8 @@
 mod settings_fields;
 mod signal_table;
 mod signal_version;
+mod slow_engine;
+mod slow_engine_table;
 mod store_history;
 mod store_position;
 mod stream_proxy;
@@ -195,6 +198,7 @@
     settings::Settings,
     signal_table::SignalTable,
     signal_version::SignalVersion,
+    slow_engine::{SlowEngine, SlowEngineChanges},
     store_history::StoreHistory,
     store_position::{InvalidPosition, StorePosition},
     text_ids::{
--- a/crates/oleanderpost-serving/tests/config_delta.rs
+++ b/crates/oleanderpost-serving/tests/config_delta.rs
@@ -35,6 +35,7 @@
         Service {
             max_connections: Some(rng.random_range(1..3)),
             engine: None,
+            cold: None,
         },
     )];
     let config = ServingConfig::new(version)
