Check the numbers in messages of other nodes before use

A grant or refusal whose time was negative, infinite or no number ended the task of its request with a panic (`Duration::from_secs_f64`), and a request with such times took part in the order of the queue. The scheduler now answers such a request like one for an unknown service, and a node takes such a time as not stated.

Mutation: without the check in `handle`, work_whose_numbers_are_out_of_range_is_not_scheduled fails.

--- a/crates/oleanderpost-serving/src/engine_finder.rs
+++ b/crates/oleanderpost-serving/src/engine_finder.rs
@@ -183,7 +183,9 @@
                 left_ms = self.request.time_left().as_millis() as u64, scheduler: = self.entry.scheduler.leader()
             });
         }
-        PlacementError::Refused(Duration::from_secs_f64(retry_after_ms.max(0.0) / 1e3))
+        let retry_after = Duration::try_from_secs_f64(retry_after_ms / 1e3);
+        // Another node's value may be out of range.
+        PlacementError::Refused(retry_after.unwrap_or(DEFAULT_RETRY_AFTER))
     }
 
     async fn place_plain(&self) -> Result<Placement, PlacementError> {
--- a/crates/oleanderpost-serving/src/scheduler_host.rs
+++ b/crates/oleanderpost-serving/src/scheduler_host.rs
@@ -314,6 +314,9 @@
         }
         match msg {
             SchedulerMessage::Submit { service, work } => {
+                if !work.is_valid() {
+                    return Some(SchedulerMessage::NotServing);
+                }
                 let id = work.id;
                 let (prompt, deadline_ms) = (work.prompt, work.deadline_ms);
                 let parts = work.parts.clone();
@@ -724,7 +727,7 @@
 }
 
 fn adopt(state: &mut HostState, now: f64, from: &VmId, held: &[HeldWork]) {
-    for placement in held {
+    for placement in held.iter().filter(|placement| placement.work.is_valid()) {
         if let Some(scheduler) = state.schedulers.get_mut(&placement.service) {
             scheduler.adopt(
                 now,
--- a/crates/oleanderpost-serving/src/stream_proxy.rs
+++ b/crates/oleanderpost-serving/src/stream_proxy.rs
@@ -248,7 +248,9 @@
         match placement.first_event_ms {
             Some(expected) if !is_last => {
                 let ms = expected * FIRST_EVENT_TIMEOUT_FACTOR + FIRST_EVENT_TIMEOUT_EXTRA_MS;
-                time_left.min(Duration::from_secs_f64(ms / 1e3))
+                // Another node's estimate may be out of range.
+                let estimated = Duration::try_from_secs_f64(ms / 1e3);
+                time_left.min(estimated.unwrap_or(time_left))
             }
             _ => time_left,
         }
--- a/crates/oleanderpost-serving/src/work.rs
+++ b/crates/oleanderpost-serving/src/work.rs
@@ -44,6 +44,13 @@
 }
 
 impl Work {
+    /// Whether all numbers are in the range that requests can have. Those of another node may be anything.
+    pub(crate) fn is_valid(&self) -> bool {
+        let counts = [self.prompt, self.answer, self.answer_limit, self.pause_ms];
+        let is_count = |value: f64| value.is_finite() && value >= 0.0;
+        counts.into_iter().all(is_count) && self.objective_ms.is_finite() && self.deadline_ms.is_finite()
+    }
+
     /// Longest wait for the limits of engines, in milliseconds. The wait is known, so a request that would be late is
     /// rejected with a time to come back; a stream that is resumed may wait for one pause.
     pub(crate) fn max_limit_wait_ms(&self) -> f64 {
--- a/crates/oleanderpost-serving/tests/scheduler_client.rs
+++ b/crates/oleanderpost-serving/tests/scheduler_client.rs
@@ -619,3 +619,33 @@
     refresh_engines(&host, 3, Some(7));
     assert_eq!(host.slow_engines(), []);
 }
+
+/// Guards against numbers in a message that end a scheduling round with a panic, or make a request wait forever.
+#[tokio::test(start_paused = true)]
+async fn work_whose_numbers_are_out_of_range_is_not_scheduled() {
+    let host = host();
+    let submit = |number, objective_ms, prompt| {
+        let work = Work {
+            objective_ms,
+            ..work_with_id(WorkId(9, number), prompt)
+        };
+        let service = llm();
+        host.handle(
+            &vm_id("node"),
+            SchedulerMessage::Submit { service, work },
+            false,
+        )
+    };
+    for (number, objective_ms, prompt) in [
+        (1, f64::NAN, 5_000.0),
+        (2, f64::INFINITY, 5_000.0),
+        (3, 300.0, f64::NAN),
+        (4, 300.0, -1.0),
+    ] {
+        let reply = submit(number, objective_ms, prompt);
+        assert_eq!(reply, Some(SchedulerMessage::NotServing), "{number}");
+    }
+    assert_eq!(host.counts(), (0, 0));
+    let reply = submit(5, 3_000.0, 5_000.0);
+    assert!(matches!(reply, Some(SchedulerMessage::Decided { .. })));
+}
