--- a/crates/oleanderpost-serving/tests/support/engine_sim.rs
+++ b/crates/oleanderpost-serving/tests/support/engine_sim.rs
@@ -107,6 +107,13 @@
         self.held.push((id, context));
     }
 
+    /// Drops a request whose caller has left.
+    pub(crate) fn cancel(&mut self, id: usize) {
+        self.prefills.retain(|prefill| prefill.id != id);
+        self.decodes.retain(|decode| decode.id != id);
+        self.release(id);
+    }
+
     /// Ends the holding of a part.
     pub(crate) fn release(&mut self, id: usize) {
         self.held.retain(|(held, _)| *held != id);
--- a/crates/oleanderpost-serving/tests/support/load.rs
+++ b/crates/oleanderpost-serving/tests/support/load.rs
@@ -3,6 +3,9 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha20Rng;
 
+/// Number of client accounts.
+const ACCOUNTS: usize = 24;
+
 /// A kind of request. Times in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Kind {
@@ -18,6 +21,15 @@
     pub(crate) deadline_ms: f64,
     /// Value of an answer that is on time, and of a late one.
     pub(crate) value: (f64, f64),
+    pub(crate) priority: u8,
+}
+
+impl Kind {
+    /// Time without an event after which callers give up, as stated in `docs/design/hard-load.md`.
+    pub(crate) fn patience_ms(&self) -> f64 {
+        let per_pause = self.pause_ms * 8.0;
+        (self.objective_ms * 4.0).max(per_pause).max(2_000.0)
+    }
 }
 
 pub(crate) const SHORT: Kind = Kind {
@@ -31,6 +43,7 @@
     pause_ms: 250.0,
     deadline_ms: 10_000.0,
     value: (1.3, 0.33),
+    priority: 1,
 };
 
 pub(crate) const MEDIUM: Kind = Kind {
@@ -44,6 +57,7 @@
     pause_ms: 600.0,
     deadline_ms: 10_000.0,
     value: (3.9, 0.98),
+    priority: 1,
 };
 
 pub(crate) const LONG: Kind = Kind {
@@ -57,21 +71,36 @@
     pause_ms: 1_000.0,
     deadline_ms: 15_000.0,
     value: (15.0, 3.7),
+    priority: 1,
 };
 
 /// A single request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Request {
     pub(crate) at: f64,
+    /// Request that the caller repeats after a rejection.
+    pub(crate) retry_of: Option<usize>,
+    /// Time between the arrival of that request and this one, in milliseconds.
+    pub(crate) earlier_ms: f64,
+    /// Client account, the largest first.
+    pub(crate) account: usize,
     pub(crate) kind: Kind,
     pub(crate) prompt: f64,
     pub(crate) answer: f64,
 }
 
+impl Request {
+    /// Time at which the caller no longer needs the answer.
+    pub(crate) fn deadline(&self) -> f64 {
+        self.at - self.earlier_ms + self.kind.deadline_ms
+    }
+}
+
 /// Generates requests of several kinds between `from` and `until`; each kind comes with a factor on its
 /// rate.
 pub(crate) fn mix(seed: u64, kinds: &[(Kind, f64)], from: f64, until: f64) -> Vec<Request> {
     let mut rng = ChaCha20Rng::seed_from_u64(seed);
+    let mut account_rng = ChaCha20Rng::seed_from_u64(seed + 500);
     let mut requests = Vec::new();
     for (kind, factor) in kinds {
         let mut at = from;
@@ -85,6 +114,9 @@
             let answer = log_normal(&mut rng, kind.answer, 0.5).min(kind.answer * 2.5);
             requests.push(Request {
                 at,
+                retry_of: None,
+                earlier_ms: 0.0,
+                account: draw_account(&mut account_rng),
                 kind: *kind,
                 prompt,
                 answer,
@@ -106,6 +138,18 @@
     requests
 }
 
+/// Draws a client account; the share of the n-th largest is proportional to 1/n.
+fn draw_account(rng: &mut ChaCha20Rng) -> usize {
+    let total: f64 = (1..=ACCOUNTS).map(|n| 1.0 / n as f64).sum();
+    let mut draw = rng.random_range(0.0..total);
+    (1..ACCOUNTS)
+        .find(|n| {
+            draw -= 1.0 / *n as f64;
+            draw < 0.0
+        })
+        .map_or(ACCOUNTS - 1, |n| n - 1)
+}
+
 /// Draws a log-normal number with the given mean.
 fn log_normal(rng: &mut ChaCha20Rng, mean: f64, log_std_dev: f64) -> f64 {
     let (a, b): (f64, f64) = (rng.random_range(1e-9..1.0), rng.random_range(0.0..1.0));
--- a/crates/oleanderpost-serving/tests/support/mod.rs
+++ b/crates/oleanderpost-serving/tests/support/mod.rs
@@ -12,8 +12,8 @@
 pub(crate) use load::{Kind, LONG, MEDIUM, Request, SHORT, burst_of_long_prompts, mix};
 #[allow(unused_imports, reason = "each test file uses a part")]
 pub(crate) use simulation::{
-    LeastInFlight, Outcome, OutcomeStats, Placer, SchedulerPlacer, simulate, simulate_with_profile,
-    simulate_with_slowdown,
+    LeastInFlight, Outcome, OutcomeStats, Placer, SchedulerPlacer, simulate, simulate_with_callers,
+    simulate_with_profile, simulate_with_slowdown,
 };
 
 use oleanderpost_serving::EngineProfile;
--- a/crates/oleanderpost-serving/tests/support/simulation.rs
+++ b/crates/oleanderpost-serving/tests/support/simulation.rs
@@ -1,14 +1,17 @@
 //! Runs a request load on simulated engines.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
 use oleanderpost_serving::{
-    DataCentreName, Decision, EngineProfile, Grant, Scheduler, UpstreamId, Work, WorkEnd, WorkId,
+    DataCentreName, Decision, EngineProfile, Grant, PartId, Scheduler, UpstreamId, Work, WorkEnd,
+    WorkId,
 };
 use oleanderpost_types::VmId;
 
 use super::{EngineSim, Request, engine_sim::PassResult, profile};
 
+/// Shortest time that a node states in `Retry-After`.
+const MIN_RETRY_AFTER_MS: f64 = 50.0;
 /// Interval between scheduling rounds in milliseconds.
 const SCHEDULING_INTERVAL_MS: f64 = 25.0;
 
@@ -18,6 +21,10 @@
     fn schedule_waiting(&mut self, now: f64) -> Vec<(usize, Decision)>;
     fn record_first_event(&mut self, now: f64, id: usize);
     fn record_end(&mut self, now: f64, id: usize);
+    /// Records that the caller has left.
+    fn record_cancel(&mut self, now: f64, id: usize) {
+        self.record_end(now, id);
+    }
 }
 
 fn engine_id(n: usize) -> UpstreamId {
@@ -32,6 +39,11 @@
 pub(crate) struct SchedulerPlacer {
     scheduler: Scheduler,
     node: VmId,
+    slots: usize,
+    /// Whether the scheduler learns when callers give up.
+    states_patience: bool,
+    /// Requests refused on arrival while less than half of the slots were taken and nothing waited.
+    pub(crate) needless_refusals: usize,
 }
 
 impl SchedulerPlacer {
@@ -41,12 +53,24 @@
 
     /// Creates a scheduler that is configured with another profile.
     pub(crate) fn with_profile(engines: usize, configured_profile: EngineProfile) -> Self {
+        let slots = configured_profile.slots as usize * engines;
         let mut scheduler = Scheduler::new(configured_profile);
         let data_centre = DataCentreName::new("dc-a");
         scheduler.set_engines((0..engines).map(|n| (engine_id(n), data_centre.clone())));
         Self {
             scheduler,
             node: VmId::new("node-1").unwrap(),
+            slots,
+            states_patience: false,
+            needless_refusals: 0,
+        }
+    }
+
+    /// Tells the scheduler when callers give up.
+    pub(crate) fn with_patience(self) -> Self {
+        Self {
+            states_patience: true,
+            ..self
         }
     }
 }
@@ -60,14 +84,19 @@
             answer_limit: req.kind.answer * 2.5,
             objective_ms: req.kind.objective_ms,
             pause_ms: req.kind.pause_ms,
-            deadline_ms: req.kind.deadline_ms,
-            priority: 1,
+            deadline_ms: req.kind.deadline_ms - req.earlier_ms,
+            priority: req.kind.priority,
             data_centre: DataCentreName::new("dc-a"),
             excluded: Vec::new(),
-            parts: Vec::new(),
-            patience_ms: None,
+            parts: vec![PartId::new(&format!("p{}", req.retry_of.unwrap_or(id)))],
+            patience_ms: self.states_patience.then(|| req.kind.patience_ms()),
         };
-        self.scheduler.submit(now, &self.node, work)
+        let taken: usize = self.scheduler.engines().map(|(_, load)| load.len()).sum();
+        let spare = self.scheduler.waiting() == 0 && taken * 2 < self.slots;
+        let decision = self.scheduler.submit(now, &self.node, work);
+        let refused = matches!(decision, Decision::Refuse { .. });
+        self.needless_refusals += usize::from(refused && spare);
+        decision
     }
 
     fn schedule_waiting(&mut self, now: f64) -> Vec<(usize, Decision)> {
@@ -85,6 +114,11 @@
         self.scheduler
             .note_end(now, WorkId(0, id as u64), WorkEnd::Finished);
     }
+
+    fn record_cancel(&mut self, now: f64, id: usize) {
+        self.scheduler
+            .note_end(now, WorkId(0, id as u64), WorkEnd::Cancelled);
+    }
 }
 
 /// Baseline: the engine with the fewest requests in progress receives the next one at once. A request that
@@ -148,6 +182,8 @@
     pub(crate) longest_pause_ms: f64,
     pub(crate) completed: bool,
     pub(crate) refused: bool,
+    /// Time from the arrival until the request was refused or its caller gave up.
+    pub(crate) held_ms: f64,
     last_event: f64,
 }
 
@@ -177,6 +213,19 @@
     simulate_with_profile(requests, engines, &profile(), slowdown, placer)
 }
 
+/// Like [`simulate_with_profile`], with callers that give up, and that retry once after a rejection. Returns all
+/// requests with their outcomes; the repeated ones follow the others.
+pub(crate) fn simulate_with_callers(
+    requests: &[Request],
+    engines: usize,
+    profile: &EngineProfile,
+    placer: &mut dyn Placer,
+) -> (Vec<Request>, Vec<Outcome>) {
+    let mut requests = requests.to_vec();
+    let outcomes = run(&mut requests, engines, profile, &|_, _| 1.0, placer, true);
+    (requests, outcomes)
+}
+
 /// Like [`simulate_with_slowdown`], on engines with another profile.
 pub(crate) fn simulate_with_profile(
     requests: &[Request],
@@ -184,11 +233,25 @@
     profile: &EngineProfile,
     slowdown: &dyn Fn(f64, usize) -> f64,
     placer: &mut dyn Placer,
+) -> Vec<Outcome> {
+    let mut requests = requests.to_vec();
+    run(&mut requests, engines, profile, slowdown, placer, false)
+}
+
+fn run(
+    requests: &mut Vec<Request>,
+    engines: usize,
+    profile: &EngineProfile,
+    slowdown: &dyn Fn(f64, usize) -> f64,
+    placer: &mut dyn Placer,
+    callers_react: bool,
 ) -> Vec<Outcome> {
     let mut sims = vec![EngineSim::new(profile.clone()); engines];
     let mut outcomes = vec![Outcome::default(); requests.len()];
     let mut running: HashMap<usize, Running> = HashMap::new();
-    let mut next = 0;
+    let mut arrivals: VecDeque<_> = (0..requests.len()).collect();
+    // Requests without a first event, by the time at which their callers give up.
+    let mut unanswered: Vec<usize> = Vec::new();
     let mut now = 0.0;
     let mut next_round_at = 0.0;
     let last = requests.last().map_or(0.0, |req| req.at) + 30_000.0;
@@ -206,12 +269,16 @@
             .flatten()
             .map(|(end, _)| *end)
             .fold(f64::INFINITY, f64::min);
-        let arrival = requests.get(next).map_or(f64::INFINITY, |req| req.at);
+        let arrival = arrivals
+            .front()
+            .map_or(f64::INFINITY, |id| requests[*id].at);
         now = pass_end.min(arrival).min(next_round_at);
         let mut decided = Vec::new();
-        if arrival <= now {
-            decided.push((next, placer.submit(now, next, &requests[next])));
-            next += 1;
+        if arrival <= now
+            && let Some(id) = arrivals.pop_front()
+        {
+            decided.push((id, placer.submit(now, id, &requests[id])));
+            unanswered.push(id);
         }
         for pass in &mut passes {
             let Some((_, done)) = pass.take_if(|(end, _)| *end <= now) else {
@@ -232,6 +299,21 @@
         }
         if next_round_at <= now {
             next_round_at = now + SCHEDULING_INTERVAL_MS;
+            if callers_react {
+                unanswered
+                    .retain(|id| !outcomes[*id].refused && outcomes[*id].first_event_ms.is_none());
+                for id in &unanswered {
+                    let req = &requests[*id];
+                    if now - req.at < req.kind.patience_ms() || outcomes[*id].held_ms > 0.0 {
+                        continue;
+                    }
+                    outcomes[*id].held_ms = now - req.at;
+                    placer.record_cancel(now, *id);
+                    running.remove(id);
+                    sims.iter_mut().for_each(|sim| sim.cancel(*id));
+                }
+                unanswered.retain(|id| outcomes[*id].held_ms == 0.0);
+            }
             decided.extend(placer.schedule_waiting(now));
         }
         for (id, decision) in decided {
@@ -259,7 +341,24 @@
                         );
                     }
                 }
-                Decision::Refuse { .. } => outcomes[id].refused = true,
+                Decision::Refuse { retry_after_ms } => {
+                    outcomes[id].refused = true;
+                    outcomes[id].held_ms = now - requests[id].at;
+                    if callers_react && requests[id].retry_of.is_none() {
+                        let left = requests[id].deadline() - now;
+                        let wait_ms = retry_after_ms.max(MIN_RETRY_AFTER_MS).min(left / 3.0);
+                        let retry = Request {
+                            at: now + wait_ms,
+                            retry_of: Some(id),
+                            earlier_ms: now + wait_ms - requests[id].at,
+                            ..requests[id]
+                        };
+                        let at = arrivals.partition_point(|id| requests[*id].at <= retry.at);
+                        arrivals.insert(at, requests.len());
+                        requests.push(retry);
+                        outcomes.push(Outcome::default());
+                    }
+                }
                 Decision::Wait => {}
             }
         }
@@ -278,7 +377,9 @@
 ) {
     match result {
         PassResult::PartPrefilled(id) => {
-            let request = running.get_mut(&id).unwrap();
+            let Some(request) = running.get_mut(&id) else {
+                return;
+            };
             request.parts_left -= 1;
             if request.parts_left == 0 {
                 let holders = request.holders.len();
@@ -289,6 +390,7 @@
                 }
             }
         }
+        PassResult::Event(id) | PassResult::Ended(id) if !running.contains_key(&id) => {}
         PassResult::Event(id) | PassResult::Ended(id) => {
             let outcome = &mut outcomes[id];
             if outcome.first_event_ms.is_none() {
@@ -299,7 +401,7 @@
             }
             outcome.last_event = now;
             if matches!(result, PassResult::Ended(_)) {
-                outcome.completed = now - requests[id].at <= requests[id].kind.deadline_ms;
+                outcome.completed = now <= requests[id].deadline();
                 placer.record_end(now, id);
                 for holder in running
                     .remove(&id)
