--- a/crates/oleanderpost-serving/src/engine_finder.rs
+++ b/crates/oleanderpost-serving/src/engine_finder.rs
@@ -43,12 +43,15 @@
     full_engines: Vec<UpstreamId>,
     /// Whether the scheduler has granted evacuated engines, so that it must be told which these are.
     excludes_evacuated: bool,
+    /// Arrival of the request, or the last event that was forwarded to the caller.
+    waiting_since: BootTime,
 }
 
 impl EngineFinder {
     pub(crate) fn new(entry: Arc<EntryContext>, request: Arc<AdmittedRequest>) -> Self {
         Self {
             entry,
+            waiting_since: request.arrived_at,
             request,
             excluded: Vec::new(),
             full_engines: Vec::new(),
@@ -66,6 +69,11 @@
         self.excludes_evacuated = true;
     }
 
+    /// Records that the caller has received an event. Callers count their patience anew from each event.
+    pub(crate) fn note_event(&mut self) {
+        self.waiting_since = BootTime::now();
+    }
+
     /// Obtains an engine, and reservations if the prompt exceeds the memory of one engine.
     pub(crate) async fn place(&mut self) -> Result<Placement, PlacementError> {
         let profile = self.entry.state.config().and_then(|config| {
@@ -87,7 +95,8 @@
             let work = self.build_work(profile.usual_prompt, profile.usual_answer);
             let id = work.id;
             let lease_future = self.entry.scheduler.place(&self.request.service, work);
-            let lease_result = timeout(self.request.time_left(), lease_future)
+            let patience = self.request.patience_left(self.waiting_since);
+            let lease_result = timeout(patience, lease_future)
                 .await
                 .map_err(|_| PlacementError::DeadlineExceeded)?;
             let lease =
@@ -301,6 +310,7 @@
             objective_ms: remaining_ms(self.request.route.objective),
             pause_ms: self.request.max_event_gap().as_secs_f64() * 1e3,
             deadline_ms: remaining_ms(self.request.time_limit()),
+            patience_ms: Some(self.request.patience_left(self.waiting_since).as_secs_f64() * 1e3),
             priority: self.request.priority(),
             data_centre: self.entry.data_centre.clone(),
             excluded: self
