--- a/crates/oleanderpost-serving/tests/cold_upstreams.rs
+++ b/crates/oleanderpost-serving/tests/cold_upstreams.rs
@@ -218,6 +218,7 @@
         objective_ms: 250.0,
         pause_ms: 200.0,
         deadline_ms: 10_000.0,
+        patience_ms: None,
         priority: 0,
         data_centre: DataCentreName::new("dc-2"),
         excluded: Vec::new(),
