--- a/crates/oleanderpost-serving/src/signal_table.rs
+++ b/crates/oleanderpost-serving/src/signal_table.rs
@@ -35,11 +35,17 @@
     number: u64,
 }
 
+/// Time after which the entry of a process that has just started has arrived: two of its usual write intervals and the
+/// delay of the store. A response does not name its process, so a pause from just before a new entry may be that
+/// of the new process.
+const ENTRY_LAG: Duration = Duration::from_secs(3);
+
 /// A pause that one upstream process wants from this node.
 #[derive(Clone, Copy, Debug)]
 struct Pause {
     /// Start time of the process, as in [`Upstream::started_at`].
     started_at: Option<u64>,
+    told_at: BootTime,
     until: BootTime,
 }
 
@@ -81,7 +87,7 @@
         now: BootTime,
     ) -> bool {
         if let Some(pause) = head.pause {
-            self.extend_pause(upstream, now.after(pause));
+            self.extend_pause(upstream, now, now.after(pause));
         }
         let known = self.known(upstream);
         let known_limit = known.and_then(|signals| signals.limit);
@@ -166,8 +172,11 @@
 
     /// Time for which the upstream wants no requests from this node.
     #[must_use]
-    pub fn pause_left(&self, upstream: &Upstream, now: BootTime) -> Option<Duration> {
-        let pause = self.pauses.get(&upstream.id)?;
+    pub fn pause_left(&mut self, upstream: &Upstream, now: BootTime) -> Option<Duration> {
+        let pause = self.pauses.get_mut(&upstream.id)?;
+        if now.since(pause.told_at) <= ENTRY_LAG {
+            pause.started_at = upstream.started_at;
+        }
         let holds = pause.started_at == upstream.started_at && pause.until > now;
         holds.then(|| pause.until.since(now))
     }
@@ -292,9 +301,10 @@
         self.reported_invalid.retain(|id, _| is_known(id));
     }
 
-    fn extend_pause(&mut self, upstream: &Upstream, until: BootTime) {
+    fn extend_pause(&mut self, upstream: &Upstream, now: BootTime, until: BootTime) {
         let pause = Pause {
             started_at: upstream.started_at,
+            told_at: now,
             until,
         };
         let known = self.pauses.entry(upstream.id.clone()).or_insert(pause);
--- a/crates/oleanderpost-serving/tests/signal_table.rs
+++ b/crates/oleanderpost-serving/tests/signal_table.rs
@@ -247,3 +247,36 @@
         RequestRate::new(2.0).ok()
     );
 }
+
+/// Guards against a fault found by the soak: a restarted process asked for a pause before its entry arrived, and the
+/// entry ended the pause.
+#[test]
+fn pause_of_a_process_whose_entry_arrives_later_holds() {
+    let mut table = SignalTable::new(1);
+    let now = BootTime::now();
+    let head = ResponseHead {
+        pause: Some(Duration::from_secs(8)),
+        ..ResponseHead::default()
+    };
+    let process = |started_at| Upstream {
+        id: UpstreamId::new("u"),
+        service: ServiceName::new("a"),
+        address: "127.0.0.1:1".parse().unwrap(),
+        data_centre: DataCentreName::new("dc-a"),
+        slots: 1,
+        draining: false,
+        started_at: Some(started_at),
+        cold_left_ms: None,
+    };
+    let (before, after) = (process(1), process(2));
+    table.note_response(&before, &head, now, now);
+    for secs in [1, 7] {
+        let at = now.after(Duration::from_secs(secs));
+        assert!(table.pause_left(&after, at).is_some(), "{secs} s");
+    }
+    assert!(
+        table
+            .pause_left(&after, now.after(Duration::from_secs(8)))
+            .is_none()
+    );
+}
