--- a/crates/oleanderpost-serving/src/engine_finder.rs
+++ b/crates/oleanderpost-serving/src/engine_finder.rs
@@ -15,6 +15,8 @@
 
 /// Default retry time for a request for which no upstream was available.
 pub(crate) const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Longest retry time: beyond it, nothing that the scheduler knows still holds.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
 /// Maximum number of placements tried for a request when engines refuse to reserve memory.
 const MAX_PLACEMENTS: u32 = 4;
 /// Delay before the next placement is tried.
@@ -271,12 +273,14 @@
                 request: = self.request.head.id, work: = id, retry_after_ms = retry_after_ms as u64,
                 left_ms = self.request.time_left().as_millis() as u64,
                 cold = self.entry.state.is_cold_service(&self.request.service),
+                patience_ms = self.request.patience_left(self.waiting_since).as_millis() as u64,
                 scheduler: = self.entry.scheduler.leader()
             });
         }
         let retry_after = Duration::try_from_secs_f64(retry_after_ms / 1e3);
         // Another node's value may be out of range.
-        PlacementError::Refused(retry_after.unwrap_or(DEFAULT_RETRY_AFTER))
+        let retry_after = retry_after.unwrap_or(DEFAULT_RETRY_AFTER);
+        PlacementError::Refused(spread_return(retry_after.min(MAX_RETRY_AFTER)))
     }
 
     async fn place_plain(&self) -> Result<Placement, PlacementError> {
