--- a/crates/oleanderpost-serving/src/event_reader.rs
+++ b/crates/oleanderpost-serving/src/event_reader.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::timeout;
@@ -63,6 +64,8 @@
 pub(crate) struct EventReader {
     body: Incoming,
     splitter: EventSplitter,
+    /// Comments and empty lines since the last event; they are forwarded with the next one.
+    comments: BytesMut,
 }
 
 impl EventReader {
@@ -70,6 +73,7 @@
         Self {
             body,
             splitter: EventSplitter::default(),
+            comments: BytesMut::new(),
         }
     }
 
@@ -85,11 +89,13 @@
             if let Some(event) = self.splitter.next_event() {
                 // An engine that sends only comments is stalled.
                 if event.has_field() {
-                    return Ok(StreamItem::Event(event));
+                    let bytes = self.with_comments(event.bytes);
+                    return Ok(StreamItem::Event(Event { bytes, ..event }));
                 }
+                self.comments.extend_from_slice(&event.bytes);
                 continue;
             }
-            if self.splitter.buffered_len() > MAX_EVENT_BYTES {
+            if self.splitter.buffered_len() + self.comments.len() > MAX_EVENT_BYTES {
                 return Err(EventError::TooLarge);
             }
             match self.body.frame().await {
@@ -103,8 +109,20 @@
                     let cause = "stream ended in the middle of an event";
                     return Err(EventError::Disconnected(cause.to_owned()));
                 }
+                None if !self.comments.is_empty() => {
+                    let bytes = self.with_comments(Bytes::new());
+                    return Ok(StreamItem::Event(Event { id: None, bytes }));
+                }
                 None => return Ok(StreamItem::End),
             }
         }
     }
+
+    fn with_comments(&mut self, event: Bytes) -> Bytes {
+        if self.comments.is_empty() {
+            return event;
+        }
+        self.comments.extend_from_slice(&event);
+        self.comments.split().freeze()
+    }
 }
