Log when streams sent their first event, and their longest gap

The log of a request did not say whether its caller was served in time. Records of the end of a stream have the prompt, the time to the first event, the objective, the longest gap and the gap that the route allows, so that losses can be counted from logs alone.

--- a/crates/oleanderpost-serving/src/stream_proxy.rs
+++ b/crates/oleanderpost-serving/src/stream_proxy.rs
@@ -67,6 +67,12 @@
     /// Identifier of the last event that the caller has received.
     last_event_id: Option<u64>,
     forwarded_events: u64,
+    /// Time from the arrival of the request to the first event that was forwarded.
+    first_event_after: Option<Duration>,
+    /// Time from the arrival of the request to the latest forwarded event.
+    last_event_after: Duration,
+    /// Longest gap between two forwarded events.
+    longest_gap: Duration,
     /// Whether all events so far had numeric identifiers, without which the stream can't be resumed.
     all_events_numbered: bool,
 }
@@ -89,6 +95,9 @@
             current_engine: None,
             last_event_id,
             forwarded_events: 0,
+            first_event_after: None,
+            last_event_after: Duration::ZERO,
+            longest_gap: Duration::ZERO,
             all_events_numbered: true,
         }
     }
@@ -362,6 +371,7 @@
                 self.entry.reach.note_response();
                 self.last_event_id = event.id.or(self.last_event_id);
                 self.forwarded_events += 1;
+                self.note_forwarded();
                 self.finder.note_event();
                 ForwardResult::Forwarded
             }
@@ -369,6 +379,17 @@
         }
     }
 
+    fn note_forwarded(&mut self) {
+        let elapsed = self.request.elapsed();
+        if self.first_event_after.is_none() {
+            self.first_event_after = Some(elapsed);
+        } else {
+            let gap = elapsed.saturating_sub(self.last_event_after);
+            self.longest_gap = self.longest_gap.max(gap);
+        }
+        self.last_event_after = elapsed;
+    }
+
     /// Time without an event after which the stream counts as stalled.
     fn event_timeout(&self) -> Duration {
         let max_gap = self.request.max_event_gap();
@@ -499,8 +520,15 @@
         if !self.entry.may_log() {
             return;
         }
+        let route = &self.request.route;
+        let gap_limit = route.max_event_gap.unwrap_or(Duration::ZERO);
+        // 0 if no event was forwarded.
+        let first_event = self.first_event_after.unwrap_or(Duration::ZERO);
         spdlog::info!("request ended", kv: {
-            request: = self.request.head.id, route: = self.request.route.name, outcome = outcome, status,
+            request: = self.request.head.id, route: = route.name, outcome = outcome, status,
+            prompt = self.request.head.prompt_tokens.unwrap_or(0.0), first_event_ms = first_event.as_millis() as u64,
+            objective_ms = route.objective.as_millis() as u64, longest_gap_ms = self.longest_gap.as_millis() as u64,
+            gap_limit_ms = gap_limit.as_millis() as u64,
             upstream = self.current_engine.as_ref().map_or("", UpstreamId::as_str), events = self.forwarded_events,
             attempts = self.attempts.may_have_run, refusals = self.attempts.not_run,
             ms = self.request.elapsed().as_millis() as u64, version = self.request.config_version
