--- a/crates/oleanderpost-serving/src/planner.rs
+++ b/crates/oleanderpost-serving/src/planner.rs
@@ -214,8 +214,9 @@
         let passes = (work.answer / self.profile.steps_per_pass).ceil();
         let decoding = self.profile.slots as usize;
         let context = decoding as f64 * (work.prompt + work.answer / 2.0);
-        let pass_ms =
-            self.profile.decode_pass_ms(decoding, context) + self.profile.prefill_ms(work.prompt);
+        let prefills_per_pass = (decoding as f64 / passes.max(1.0)).min(1.0);
+        let pass_ms = self.profile.decode_pass_ms(decoding, context)
+            + self.profile.prefill_ms(work.prompt) * prefills_per_pass;
         passes * pass_ms
     }
 
