Give no part of the fixed retry budget to nodes that don't know the fleet's size

Change: in the first 3 s after its start a node retries only in proportion to its own requests. Test: retries_of_nodes_that_restart_together_stay_within_the_budget; with 1 in place of None it fails.

--- a/crates/oleanderpost-serving/src/entry_context.rs
+++ b/crates/oleanderpost-serving/src/entry_context.rs
@@ -133,7 +133,7 @@
                 &request.service,
                 attempts,
                 request.time_left(),
-                self.scheduler.nodes(),
+                self.scheduler.settled_nodes(),
                 BootTime::now(),
             )
     }
--- a/crates/oleanderpost-serving/src/retry_budget.rs
+++ b/crates/oleanderpost-serving/src/retry_budget.rs
@@ -40,10 +40,12 @@
         self.requests.push_back(now);
     }
 
-    /// Takes one retry from the budget of a fleet with `nodes` members; returns `false` if none is left.
-    pub fn try_retry(&mut self, now: BootTime, nodes: usize) -> bool {
+    /// Takes one retry from the budget of a fleet with `nodes` members; returns `false` if none is left. While the
+    /// number of members is unknown (`None`), the node has no part of the fixed number.
+    pub fn try_retry(&mut self, now: BootTime, nodes: Option<usize>) -> bool {
         self.drop_expired(now);
-        let allowance = self.ratio * self.requests.len() as f64 + self.slack / nodes.max(1) as f64;
+        let fixed_part = nodes.map_or(0.0, |nodes| self.slack / nodes.max(1) as f64);
+        let allowance = self.ratio * self.requests.len() as f64 + fixed_part;
         if (self.retries.len() + 1) as f64 > allowance * USED_SHARE {
             return false;
         }
--- a/crates/oleanderpost-serving/src/retry_policy.rs
+++ b/crates/oleanderpost-serving/src/retry_policy.rs
@@ -70,7 +70,7 @@
         service: &ServiceName,
         attempts: Attempts,
         time_left: Duration,
-        nodes: usize,
+        nodes: Option<usize>,
         now: BootTime,
     ) -> bool {
         let repeatable = terms.repeatable || attempts.may_have_run == 0;
--- a/crates/oleanderpost-serving/src/scheduler_client.rs
+++ b/crates/oleanderpost-serving/src/scheduler_client.rs
@@ -40,6 +40,9 @@
 const MAX_CRASH_REPORTS: usize = 64;
 /// Time for which a scheduler that did not reply is skipped.
 const SKIP_TIME: Duration = Duration::from_millis(700);
+/// Time after the start of a node until the number of nodes counts as known: restarts of all nodes are spread over about
+/// a second, and a node that finds its scheduler silent needs another heartbeat.
+const FLEET_SIZE_SETTLING: Duration = Duration::from_secs(3);
 
 /// A request waiting for a decision.
 struct Waiter {
@@ -95,6 +98,7 @@
     relays: Mutex<Vec<SocketAddr>>,
     offered_address: Mutex<Option<SocketAddr>>,
     start_id: u64,
+    created_at: BootTime,
     next_number: AtomicU64,
 }
 
@@ -123,6 +127,7 @@
             relays: Mutex::default(),
             offered_address: Mutex::default(),
             start_id,
+            created_at: BootTime::now(),
             next_number: AtomicU64::new(0),
         }
     }
@@ -171,6 +176,14 @@
         self.nodes.load(Ordering::Relaxed)
     }
 
+    /// Number of nodes in the fleet, once this node has run long enough to know it. After a restart of all nodes the
+    /// first replies count only a few, and each node would take too large a part of what all share.
+    #[must_use]
+    pub fn settled_nodes(&self) -> Option<usize> {
+        let uptime = BootTime::now().since(self.created_at);
+        (uptime >= FLEET_SIZE_SETTLING).then(|| self.nodes())
+    }
+
     /// Node of the scheduler in use.
     #[must_use]
     pub fn leader(&self) -> VmId {
--- a/crates/oleanderpost-serving/tests/request_path.rs
+++ b/crates/oleanderpost-serving/tests/request_path.rs
@@ -54,7 +54,7 @@
         if ms % 10 == 0 {
             budget.note_request(at(ms as u64));
         }
-        retries += usize::from(budget.try_retry(at(ms as u64), NODES));
+        retries += usize::from(budget.try_retry(at(ms as u64), Some(NODES)));
     }
     let allowed = 0.2 * 500.0 + 100.0;
     assert!(retries as f64 <= allowed, "{retries} of {allowed}");
@@ -64,12 +64,28 @@
     );
 }
 
+#[test]
+fn retries_of_nodes_that_restart_together_stay_within_the_budget() {
+    const NODES: usize = 118;
+    let mut budgets: Vec<_> = (0..NODES)
+        .map(|_| RetryBudget::new(0.2, 250.0, Duration::from_secs(10)))
+        .collect();
+    let mut retries = 0;
+    for ms in 0..2_000 {
+        let budget = &mut budgets[ms % NODES];
+        budget.note_request(at(ms as u64));
+        retries += usize::from(budget.try_retry(at(ms as u64), None));
+    }
+    let allowed = 0.2 * 2_000.0 + 250.0;
+    assert!(retries as f64 <= allowed, "{retries} of {allowed}");
+}
+
 #[test]
 fn retry_budget_is_restored_after_the_window() {
     let mut budget = RetryBudget::new(0.0, 5.0, Duration::from_secs(10));
-    assert!((0..4).all(|_| budget.try_retry(at(0), 1)));
-    assert!(!budget.try_retry(at(9_000), 1));
-    assert!(budget.try_retry(at(10_100), 1));
+    assert!((0..4).all(|_| budget.try_retry(at(0), Some(1))));
+    assert!(!budget.try_retry(at(9_000), Some(1)));
+    assert!(budget.try_retry(at(10_100), Some(1)));
 }
 
 #[test]
@@ -83,7 +99,7 @@
             &service,
             attempts,
             time_left,
-            1,
+            Some(1),
             at(0),
         )
     };
@@ -333,8 +349,16 @@
         repeatable: false,
         max_attempts: None,
     };
-    let allows =
-        |attempts| policy.allows(terms, &service, attempts, Duration::from_secs(1), 1, at(0));
+    let allows = |attempts| {
+        policy.allows(
+            terms,
+            &service,
+            attempts,
+            Duration::from_secs(1),
+            Some(1),
+            at(0),
+        )
+    };
     let mut initial_retries = 0;
     while allows(Attempts::default()) {
         initial_retries += 1;
--- a/crates/oleanderpostd/src/call_dispatcher.rs
+++ b/crates/oleanderpostd/src/call_dispatcher.rs
@@ -153,7 +153,7 @@
                 self.failed_attempts,
                 self.call.time_left().saturating_sub(delay),
                 // Each node has a retry budget of its own, so the budget is not divided.
-                1,
+                Some(1),
                 BootTime::now(),
             );
         if !allowed {
