Add the command losses: late, rejected and failed requests by cause, from logs

Operators had to follow requests one by one to see what a bad hour cost their callers. The command reads the logs of all nodes and counts requests by route and prompt length, and by time, with the cause of each that was not served as expected. Records of a log move to a type of their own, shared with explain. Test: each_lost_request_is_counted_once_with_its_cause.

--- a/crates/oleanderpost-cli/src/app.rs
+++ b/crates/oleanderpost-cli/src/app.rs
@@ -6,7 +6,7 @@
 use clap_complete::{Shell, generate};
 
 use crate::{
-    Args, Result, args::Command, check, demo, dump, explain, load, plan, stand_in, status,
+    Args, Result, args::Command, check, demo, dump, explain, load, losses, plan, stand_in, status,
 };
 
 /// Executes a command. Returns `false` if its result is negative.
@@ -22,6 +22,7 @@
         Command::Wait(args) => status::wait(&args).await,
         Command::Dump(args) => dump::run(&args).await,
         Command::Explain(args) => explain::run(&args),
+        Command::Losses(args) => losses::run(&args),
         Command::Load(args) => load::run(*args).await,
         Command::StandIn(args) => stand_in::run(args).await,
         Command::Demo(args) => demo::run(&args).await,
--- a/crates/oleanderpost-cli/src/args.rs
+++ b/crates/oleanderpost-cli/src/args.rs
@@ -4,8 +4,8 @@
 use clap_complete::Shell;
 
 use crate::{
-    CheckArgs, DemoArgs, DumpArgs, ExplainArgs, LoadArgs, PlanArgs, StatusArgs, WaitArgs,
-    stand_in::StandInArgs,
+    CheckArgs, DemoArgs, DumpArgs, ExplainArgs, LoadArgs, LossesArgs, PlanArgs, StatusArgs,
+    WaitArgs, stand_in::StandInArgs,
 };
 
 /// Command-line tool of oleanderpost for operators.
@@ -38,6 +38,8 @@
     Dump(DumpArgs),
     /// Show the log lines about one request from the logs of several nodes, in order of time.
     Explain(ExplainArgs),
+    /// Count late, rejected and failed requests in the logs of several nodes, by cause, prompt length and time.
+    Losses(LossesArgs),
     /// Send requests at a fixed rate and report the time to first token by prompt length.
     Load(Box<LoadArgs>),
     /// Run a stand-in for the platform, a model engine or a plain service.
--- a/crates/oleanderpost-cli/src/explain.rs
+++ b/crates/oleanderpost-cli/src/explain.rs
@@ -2,15 +2,14 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    fs::File,
-    io::{BufRead, BufReader, Write, stdin, stdout},
+    io::{Write, stdout},
     path::PathBuf,
 };
 
 use clap::Args;
 use serde_json::{Map, Value};
 
-use crate::{Error, Result};
+use crate::{Result, log_record::LogRecord};
 
 /// Fields that are printed first, in this order.
 const LEADING_FIELDS: [&str; 4] = ["outcome", "status", "upstream", "cause"];
@@ -26,59 +25,9 @@
     logs: Vec<PathBuf>,
 }
 
-/// One record of a node's log.
-#[derive(Clone, Debug)]
-struct LogRecord {
-    /// Milliseconds since 1970.
-    timestamp_ms: i64,
-    /// Log file or node that the record comes from.
-    source: String,
-    message: String,
-    fields: Map<String, Value>,
-}
-
-impl LogRecord {
-    /// Parses a line. Text before the JSON object, as log collectors add it, is taken as the node's name.
-    /// Returns `None` if the line is not a log record.
-    fn parse(text: &str, source: &str) -> Option<Self> {
-        let start = text.find('{')?;
-        let value: Value = serde_json::from_str(&text[start..]).ok()?;
-        let prefix = text[..start].trim();
-        let source = if prefix.is_empty() { source } else { prefix };
-        Some(Self {
-            timestamp_ms: value.get("timestamp")?.as_i64()?,
-            source: source.to_owned(),
-            message: value.get("payload")?.as_str()?.to_owned(),
-            fields: value
-                .get("kv")
-                .and_then(Value::as_object)
-                .cloned()
-                .unwrap_or_default(),
-        })
-    }
-
-    fn field_text(&self, field: &str) -> Option<&str> {
-        self.fields.get(field)?.as_str()
-    }
-}
-
 /// Writes the log records of one request in order of time. Returns `false` if there are none.
 pub(crate) fn run(args: &ExplainArgs) -> Result<bool> {
-    let mut records = Vec::new();
-    if args.logs.is_empty() {
-        read_log(stdin().lock(), "stdin", &mut records)?;
-    }
-    for path in &args.logs {
-        let file = File::open(path).map_err(|source| Error::ReadFile {
-            path: path.clone(),
-            source,
-        })?;
-        read_log(
-            BufReader::new(file),
-            &path.display().to_string(),
-            &mut records,
-        )?;
-    }
+    let records = LogRecord::read_all(&args.logs)?;
     let selected = request_records(&records, &args.request);
     let mut out = stdout().lock();
     let first = selected.first().map_or(0, |record| record.timestamp_ms);
@@ -95,13 +44,6 @@
     Ok(!selected.is_empty())
 }
 
-fn read_log(log: impl BufRead, source: &str, records: &mut Vec<LogRecord>) -> Result<()> {
-    for text in log.lines() {
-        records.extend(LogRecord::parse(&text?, source));
-    }
-    Ok(())
-}
-
 /// Records of the request, and records of schedulers that share a work identifier with it, in order of time.
 fn request_records<'a>(records: &'a [LogRecord], request: &str) -> Vec<&'a LogRecord> {
     let own = records
--- a/crates/oleanderpost-cli/src/lib.rs
+++ b/crates/oleanderpost-cli/src/lib.rs
@@ -36,6 +36,8 @@
 mod load_account;
 mod load_args;
 mod load_report;
+mod log_record;
+mod losses;
 mod node_status;
 mod output;
 mod phase;
@@ -43,6 +45,7 @@
 mod progress_line;
 mod prompt_form;
 mod prompt_mix;
+mod request_loss;
 mod settings;
 mod stand_in;
 mod status;
@@ -59,6 +62,7 @@
     explain::ExplainArgs,
     load_account::LoadAccount,
     load_args::LoadArgs,
+    losses::LossesArgs,
     output::Output,
     phase::Phase,
     plan::PlanArgs,
