--- /dev/null
+++ b/review/standin/record.rs
@@ -0,0 +1,36 @@
+//! What a case writes to `record.txt`.
+
+use std::{
+    fs::File,
+    io::Write,
+    path::Path,
+    sync::{Arc, Mutex},
+    time::Instant,
+};
+
+/// A file of lines with the time since the start.
+#[derive(Clone)]
+pub struct Record {
+    started: Instant,
+    file: Arc<Mutex<File>>,
+}
+
+impl Record {
+    pub fn create(path: &Path) -> Self {
+        let file = File::create(path).expect("a writable record");
+        Self {
+            started: Instant::now(),
+            file: Arc::new(Mutex::new(file)),
+        }
+    }
+
+    /// Seconds since the start.
+    pub fn now(&self) -> f64 {
+        self.started.elapsed().as_secs_f64()
+    }
+
+    pub fn line(&self, text: &str) {
+        let line = format!("{:8.3} s  {text}\n", self.now());
+        let _ = self.file.lock().unwrap().write_all(line.as_bytes());
+    }
+}
