--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,6 +4,7 @@
 //! Exits with 1 if the rule was broken, with 0 if it held, and with 2 if the case could not run.
 
 mod engine;
+mod evacuation;
 mod http;
 mod node;
 mod operator;
@@ -34,6 +35,7 @@
     std::fs::create_dir_all(&work).expect("a writable temporary folder");
     let outcome = match case.as_str() {
         "queued-at-shutdown" => queued_at_shutdown::run(trouble, &work, &record),
+        "evacuation" => evacuation::run(trouble, &work, &record),
         _ => Outcome::NotRun,
     };
     if env::var("KEEP_LOGS").is_err() {
--- a/review/standin/node.rs
+++ b/review/standin/node.rs
@@ -18,6 +18,19 @@
 /// Time within which a node has to be ready.
 const START_LIMIT: Duration = Duration::from_secs(8);
 
+/// Number of the signal that stops a process.
+pub const SIGSTOP: i32 = 19;
+/// Number of the signal that continues it.
+pub const SIGCONT: i32 = 18;
+
+/// Sends a signal to a process that this one has started.
+pub fn send_signal(pid: i32, signal: i32) {
+    unsafe extern "C" {
+        safe fn kill(pid: i32, signal: i32) -> i32;
+    }
+    kill(pid, signal);
+}
+
 /// A running `oleanderpostd entry`; killed on drop.
 pub struct Node {
     pub name: String,
@@ -119,6 +132,11 @@
             .status();
     }
 
+    /// Identifier of the process.
+    pub fn pid(&self) -> i32 {
+        self.child.id() as i32
+    }
+
     /// Whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
         !matches!(self.child.try_wait(), Ok(None))
--- a/review/standin/operator.rs
+++ b/review/standin/operator.rs
@@ -3,22 +3,23 @@
 /// Host of all routes.
 pub const HOST: &str = "app.example";
 
-/// A configuration in the platform's schema: a service `llm` of model engines with the route `/review/`, and a plain
-/// service `api` with the routes `/once/` and `/safe/`.
+/// A configuration in the platform's schema: a service `llm` of model engines with the routes `/review/` and `/draft/`,
+/// and a plain service `api` with the routes `/once/` and `/safe/`.
 pub fn config(version: u64) -> String {
-    let route = |name: &str, kind: &str, service: &str, timeout: u32, goal: u32| {
+    let route = |name: &str, kind: &str, service: &str, timeout: u32, goal: u32, gap: u32| {
         format!(
             "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"prefix\":\"/{name}/\",\"kind\":\"{kind}\",\
              \"timeoutMs\":{timeout},\"goalMs\":{goal},\"priority\":1,\"service\":\"{service}\",\"maxAttempts\":2,\
-             \"public\":true,\"affinity\":{},\"resumable\":{},\"gapTargetMs\":1000}}",
+             \"public\":true,\"affinity\":{},\"resumable\":{},\"gapTargetMs\":{gap}}}",
             kind == "stream",
             kind == "stream"
         )
     };
     let routes = [
-        route("review", "stream", "llm", 15_000, 3_000),
-        route("once", "unsafe", "api", 1_000, 100),
-        route("safe", "safe", "api", 1_000, 100),
+        route("review", "stream", "llm", 15_000, 3_000, 1_000),
+        route("draft", "stream", "llm", 10_000, 300, 250),
+        route("once", "unsafe", "api", 1_000, 100, 0),
+        route("safe", "safe", "api", 1_000, 100, 0),
     ];
     format!(
         "{{\"version\":{version},\"routes\":[{}],\"services\":[\
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -87,6 +87,7 @@
                 ),
                 _ => String::from("{}"),
             };
+            thread::sleep(Duration::from_millis(4));
             if write_response(&mut stream, 200, &[], body.as_bytes()).is_err() {
                 return;
             }
