--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,6 +3,7 @@
 //!
 //! Exits with 1 if the rule was broken, with 0 if it held, and with 2 if the case could not run.
 
+mod config_storm;
 mod engine;
 mod evacuation;
 mod http;
@@ -11,6 +12,7 @@
 mod queued_at_shutdown;
 mod record;
 mod store;
+mod throttle;
 
 use std::{env, path::PathBuf, process::ExitCode};
 
@@ -35,6 +37,7 @@
     std::fs::create_dir_all(&work).expect("a writable temporary folder");
     let outcome = match case.as_str() {
         "queued-at-shutdown" => queued_at_shutdown::run(trouble, &work, &record),
+        "config-storm" => config_storm::run(trouble, &work, &record),
         "evacuation" => evacuation::run(trouble, &work, &record),
         _ => Outcome::NotRun,
     };
--- a/review/standin/node.rs
+++ b/review/standin/node.rs
@@ -46,6 +46,12 @@
     folder: &Path,
     record: &Record,
 ) -> Option<Vec<Node>> {
+    start_nodes_at(&vec![store.address; count], folder, record)
+}
+
+/// Like [`start_nodes`]; each node reaches the store at one of these addresses.
+pub fn start_nodes_at(stores: &[SocketAddr], folder: &Path, record: &Record) -> Option<Vec<Node>> {
+    let count = stores.len();
     let listeners: Vec<_> = (0..count * 3)
         .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
         .collect();
@@ -61,7 +67,7 @@
                 addresses[count + n],
                 links[n],
                 links,
-                store,
+                stores[n],
             );
             let path = folder.join(format!("{name}.yaml"));
             fs::write(&path, settings).expect("a writable folder");
@@ -91,7 +97,7 @@
     ready: SocketAddr,
     link: SocketAddr,
     seeds: &[SocketAddr],
-    store: &Store,
+    store: SocketAddr,
 ) -> String {
     let seeds: Vec<_> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
     format!(
@@ -100,7 +106,7 @@
          revoke_ms: 5000\ngrace_s: 8\nretry_ratio: 0.2\nretry_slack: 102\nretry_window_s: 10\n\
          reservation_max_ms: 20000\ndescriptors: 4100\nmemory_mb: 260\n",
         seeds.join(","),
-        store.address
+        store
     )
 }
 
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -10,11 +10,18 @@
 
 use crate::http::{read_request, write_response};
 
+/// Age up to which changes are kept: `historyS`.
+const HISTORY: Duration = Duration::from_secs(20);
+/// Time that an answer takes.
+const ANSWER_TIME: Duration = Duration::from_millis(4);
+
 #[derive(Default)]
 struct Contents {
     items: BTreeMap<String, (String, u64)>,
-    /// Revision and key of each change, oldest first.
-    history: Vec<(u64, String)>,
+    /// Time, revision and key of each change with the value that was written, oldest first.
+    history: Vec<(Instant, u64, String, Option<String>)>,
+    /// Revision up to which the history was dropped.
+    dropped: u64,
     revision: u64,
 }
 
@@ -24,6 +31,22 @@
     pub address: SocketAddr,
 }
 
+impl Contents {
+    fn record(&mut self, revision: u64, key: &str, value: Option<String>) {
+        let change = (Instant::now(), revision, key.to_owned(), value);
+        self.history.push(change);
+    }
+
+    /// Drops the changes that are older than the history that the platform keeps.
+    fn drop_old(&mut self) {
+        let old = self.history.iter();
+        let old = old.take_while(|(at, ..)| at.elapsed() > HISTORY).count();
+        if let Some((_, revision, ..)) = self.history.drain(..old).last() {
+            self.dropped = revision;
+        }
+    }
+}
+
 impl Store {
     pub fn start() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
@@ -53,7 +76,7 @@
         contents
             .items
             .insert(key.to_owned(), (value.to_owned(), revision));
-        contents.history.push((revision, key.to_owned()));
+        contents.record(revision, key, Some(value.to_owned()));
         self.shared.1.notify_all();
     }
 
@@ -63,7 +86,7 @@
         if contents.items.remove(key).is_some() {
             contents.revision += 1;
             let revision = contents.revision;
-            contents.history.push((revision, key.to_owned()));
+            contents.record(revision, key, None);
             self.shared.1.notify_all();
         }
     }
@@ -78,17 +101,17 @@
                 pairs.find(|(key, _)| *key == name).map_or("", |(_, v)| v)
             };
             let number = |name| param(name).parse::<u64>().unwrap_or(0);
-            let body = match path {
-                "/v1/kv-range" => self.range(param("prefix"), param("after")),
+            let (status, body) = match path {
+                "/v1/kv-range" => (200, self.range(param("prefix"), param("after"))),
                 "/v1/kv-watch" => self.watch(
                     param("prefix"),
                     number("after"),
                     Duration::from_millis(number("waitMs")),
                 ),
-                _ => String::from("{}"),
+                _ => (404, String::from("{}")),
             };
-            thread::sleep(Duration::from_millis(4));
-            if write_response(&mut stream, 200, &[], body.as_bytes()).is_err() {
+            thread::sleep(ANSWER_TIME);
+            if write_response(&mut stream, status, &[], body.as_bytes()).is_err() {
                 return;
             }
         }
@@ -106,23 +129,29 @@
         )
     }
 
-    fn watch(&self, prefix: &str, after: u64, wait: Duration) -> String {
+    /// Status and body of the answer to a watch.
+    fn watch(&self, prefix: &str, after: u64, wait: Duration) -> (u16, String) {
         let deadline = Instant::now() + wait;
         let mut contents = self.shared.0.lock().unwrap();
         loop {
+            contents.drop_old();
+            if after < contents.dropped {
+                return (410, String::from("{}"));
+            }
             let events: Vec<_> = contents
                 .history
                 .iter()
-                .filter(|(revision, key)| *revision > after && key.starts_with(prefix))
-                .map(|(revision, key)| match contents.items.get(key) {
-                    Some(item) => item_json(key, item),
+                .filter(|(_, revision, key, _)| *revision > after && key.starts_with(prefix))
+                .map(|(_, revision, key, value)| match value {
+                    Some(value) => item_json(key, &(value.clone(), *revision)),
                     None => format!("{{\"key\":\"{key}\",\"rev\":{revision},\"removed\":true}}"),
                 })
                 .collect();
             let left = deadline.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
                 let as_of = contents.revision;
-                return format!("{{\"events\":[{}],\"asOf\":{as_of}}}", events.join(","));
+                let body = format!("{{\"events\":[{}],\"asOf\":{as_of}}}", events.join(","));
+                return (200, body);
             }
             contents = self.shared.1.wait_timeout(contents, left).unwrap().0;
         }
