--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -6,7 +6,7 @@
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Mutex},
     thread,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use crate::{
@@ -28,6 +28,8 @@
 struct State {
     /// Number of times that each request ran.
     runs: HashMap<String, u32>,
+    /// Arrival of each request that ran.
+    arrivals: Vec<Instant>,
 }
 
 /// A server with an entry in the store.
@@ -75,9 +77,14 @@
 
     /// Writes the server's entry with this state.
     pub fn publish(&self, store: &Store, state: &str) {
+        self.publish_cold(store, state, 0);
+    }
+
+    /// Writes the server's entry with this state; the server stays cold for `cold_ms`.
+    pub fn publish_cold(&self, store: &Store, state: &str, cold_ms: u64) {
         let entry = format!(
             "{{\"service\":\"{}\",\"addr\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":16,\
-             \"state\":\"{state}\",\"coldLeftMs\":0,\"seq\":1,\"born\":{}}}",
+             \"state\":\"{state}\",\"coldLeftMs\":{cold_ms},\"seq\":1,\"born\":{}}}",
             self.service, self.address, self.zone, self.born
         );
         store.put(&format!("servers/{}", self.id), &entry);
@@ -89,6 +96,24 @@
         state.runs.get(request).copied().unwrap_or(0)
     }
 
+    /// Most requests that arrived within one second.
+    pub fn most_per_second(&self) -> usize {
+        let arrivals = &self.state.lock().unwrap().arrivals;
+        let within = |first: &Instant| {
+            let arrivals = arrivals.iter().filter(|at| *at >= first);
+            arrivals
+                .filter(|at| **at - *first < Duration::from_secs(1))
+                .count()
+        };
+        arrivals.iter().map(within).max().unwrap_or(0)
+    }
+
+    fn note_run(&self, id: &str) {
+        let mut state = self.state.lock().unwrap();
+        *state.runs.entry(id.to_owned()).or_default() += 1;
+        state.arrivals.push(Instant::now());
+    }
+
     fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut buf = Vec::new();
@@ -113,13 +138,7 @@
         let Some(id) = req.header("X-Request-Id") else {
             return write_response(stream, 400, &[own, ("X-Not-Run", "1")], b"");
         };
-        *self
-            .state
-            .lock()
-            .unwrap()
-            .runs
-            .entry(id.to_owned())
-            .or_default() += 1;
+        self.note_run(id);
         self.record.line(&format!("server {} runs {id}", self.id));
         match self.work {
             Work::Plain(time) => {
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -6,12 +6,10 @@
     time::{Duration, Instant},
 };
 
-/// Head and body of a request.
+/// Head of a request.
 pub struct Request {
-    pub method: String,
     pub path: String,
     pub headers: Vec<(String, String)>,
-    pub body: Vec<u8>,
 }
 
 impl Request {
@@ -39,20 +37,14 @@
 #[derive(Clone, Debug)]
 pub struct Answer {
     pub status: u16,
-    pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
     pub end: End,
 }
 
 impl Answer {
-    pub fn header(&self, name: &str) -> Option<&str> {
-        find_header(&self.headers, name)
-    }
-
     fn without_head(end: End) -> Self {
         Self {
             status: 0,
-            headers: Vec::new(),
             body: Vec::new(),
             end,
         }
@@ -110,13 +102,11 @@
             return None;
         }
     }
-    let body = buf.drain(..len).collect();
+    buf.drain(..len);
     let mut words = first.split(' ');
     Some(Request {
-        method: words.next()?.to_owned(),
-        path: words.next()?.to_owned(),
+        path: words.nth(1)?.to_owned(),
         headers,
-        body,
     })
 }
 
@@ -193,7 +183,6 @@
         {
             return Answer {
                 status: *status,
-                headers: headers.clone(),
                 body,
                 end: End::Complete,
             };
@@ -220,10 +209,9 @@
             _ if head.is_none() && buf.is_empty() => End::ClosedWithoutAnswer,
             _ => End::Broken,
         };
-        let (status, headers) = head.unwrap_or_default();
+        let (status, _) = head.unwrap_or_default();
         return Answer {
             status,
-            headers,
             body: buf,
             end,
         };
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,6 +3,7 @@
 //!
 //! Exits with 1 if the rule was broken, with 0 if it held, and with 2 if the case could not run.
 
+mod cold_without_seeds;
 mod config_storm;
 mod engine;
 mod evacuation;
@@ -37,6 +38,7 @@
     std::fs::create_dir_all(&work).expect("a writable temporary folder");
     let outcome = match case.as_str() {
         "queued-at-shutdown" => queued_at_shutdown::run(trouble, &work, &record),
+        "cold-without-seeds" => cold_without_seeds::run(trouble, &work, &record),
         "config-storm" => config_storm::run(trouble, &work, &record),
         "evacuation" => evacuation::run(trouble, &work, &record),
         _ => Outcome::NotRun,
--- a/review/standin/node.rs
+++ b/review/standin/node.rs
@@ -18,18 +18,8 @@
 /// Time within which a node has to be ready.
 const START_LIMIT: Duration = Duration::from_secs(8);
 
-/// Number of the signal that stops a process.
-pub const SIGSTOP: i32 = 19;
-/// Number of the signal that continues it.
-pub const SIGCONT: i32 = 18;
-
-/// Sends a signal to a process that this one has started.
-pub fn send_signal(pid: i32, signal: i32) {
-    unsafe extern "C" {
-        safe fn kill(pid: i32, signal: i32) -> i32;
-    }
-    kill(pid, signal);
-}
+/// Most seeds that the platform names.
+pub const MAX_SEEDS: usize = 3;
 
 /// A running `oleanderpostd entry`; killed on drop.
 pub struct Node {
@@ -39,7 +29,7 @@
     child: Child,
 }
 
-/// Starts `count` nodes that have each other as seeds, and waits until all are ready.
+/// Starts `count` nodes, of which the first three are the seeds, and waits until all are ready.
 pub fn start_nodes(
     count: usize,
     store: &Store,
@@ -66,7 +56,7 @@
                 addresses[n],
                 addresses[count + n],
                 links[n],
-                links,
+                &links[..count.min(MAX_SEEDS)],
                 stores[n],
             );
             let path = folder.join(format!("{name}.yaml"));
@@ -138,11 +128,6 @@
             .status();
     }
 
-    /// Identifier of the process.
-    pub fn pid(&self) -> i32 {
-        self.child.id() as i32
-    }
-
     /// Whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
         !matches!(self.child.try_wait(), Ok(None))
