--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -85,6 +85,18 @@
 
 /// Reads the next request of a connection; `None` when the peer has closed it.
 pub fn read_request(stream: &mut TcpStream, buf: &mut Vec<u8>) -> Option<Request> {
+    let (req, len) = read_request_head(stream, buf)?;
+    while buf.len() < len {
+        if !fill(stream, buf) {
+            return None;
+        }
+    }
+    buf.drain(..len);
+    Some(req)
+}
+
+/// Reads the head of the next request of a connection; also returns the length of its body.
+pub fn read_request_head(stream: &mut TcpStream, buf: &mut Vec<u8>) -> Option<(Request, usize)> {
     let end = loop {
         if let Some(end) = head_end(buf) {
             break end;
@@ -96,18 +108,8 @@
     let (first, headers) = parse_head(&buf[..end]);
     buf.drain(..end + 4);
     let len = find_header(&headers, "content-length").and_then(|len| len.parse().ok());
-    let len: usize = len.unwrap_or(0);
-    while buf.len() < len {
-        if !fill(stream, buf) {
-            return None;
-        }
-    }
-    buf.drain(..len);
-    let mut words = first.split(' ');
-    Some(Request {
-        path: words.nth(1)?.to_owned(),
-        headers,
-    })
+    let path = first.split(' ').nth(1)?.to_owned();
+    Some((Request { path, headers }, len.unwrap_or(0)))
 }
 
 /// Writes a response with a length.
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 
 mod cold_without_seeds;
 mod config_storm;
+mod early_answer;
 mod engine;
 mod evacuation;
 mod http;
@@ -40,6 +41,7 @@
         "queued-at-shutdown" => queued_at_shutdown::run(trouble, &work, &record),
         "cold-without-seeds" => cold_without_seeds::run(trouble, &work, &record),
         "config-storm" => config_storm::run(trouble, &work, &record),
+        "early-answer" => early_answer::run(trouble, &work, &record),
         "evacuation" => evacuation::run(trouble, &work, &record),
         _ => Outcome::NotRun,
     };
