--- a/review/standin/cold_without_seeds.rs
+++ b/review/standin/cold_without_seeds.rs
@@ -8,14 +8,14 @@
         atomic::{AtomicBool, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use crate::{
     Outcome,
     engine::{Engine, Work},
     http::{End, call_on, connect, request_bytes},
-    node::{MAX_SEEDS, start_nodes},
+    node::{IN_TOUCH_AFTER, MAX_SEEDS, start_nodes},
     operator::{HOST, config},
     record::Record,
     store::Store,
@@ -24,6 +24,8 @@
 const NODES: usize = 12;
 /// Time between two requests to a node.
 const PAUSE: Duration = Duration::from_millis(90);
+/// Time between two SIGTERMs.
+const GAP: Duration = Duration::from_millis(1_300);
 /// Time from the loss of the seeds until the server that served so far crashes.
 const WITHOUT_SEEDS: Duration = Duration::from_secs(40);
 /// `coldS`.
@@ -37,23 +39,24 @@
     let plain = Work::Plain(Duration::from_millis(15));
     let warm = Engine::start("i-warm", "cold", "zone-a", plain, record);
     warm.publish(&store, "ready");
-    let Some(mut nodes) = start_nodes(NODES, &store, folder, record) else {
+    let Some(nodes) = start_nodes(NODES, &store, folder, record) else {
         return Outcome::NotRun;
     };
-    thread::sleep(Duration::from_secs(5));
+    thread::sleep(IN_TOUCH_AFTER);
     let stop = Arc::new(AtomicBool::new(false));
     let clients: Vec<_> = nodes[MAX_SEEDS..]
         .iter()
         .enumerate()
         .map(|(n, node)| {
-            let (front, stop) = (node.front, Arc::clone(&stop));
-            thread::spawn(move || send(n, front, &stop))
+            let (front, stop, record) = (node.front, Arc::clone(&stop), record.clone());
+            thread::spawn(move || send(n, front, &stop, &record))
         })
         .collect();
     if trouble {
-        for seed in &mut nodes[..MAX_SEEDS] {
-            record.line(&format!("{} is killed and stays down", seed.name));
-            seed.kill();
+        for seed in &nodes[..MAX_SEEDS] {
+            record.line(&format!("{} gets SIGTERM and leaves for good", seed.name));
+            seed.signal("TERM");
+            thread::sleep(GAP);
         }
     }
     thread::sleep(WITHOUT_SEEDS);
@@ -76,7 +79,7 @@
 }
 
 /// Sends requests until `stop`, and returns how many.
-fn send(n: usize, front: SocketAddr, stop: &AtomicBool) -> u64 {
+fn send(n: usize, front: SocketAddr, stop: &AtomicBool, record: &Record) -> u64 {
     let mut sent = 0;
     let mut stream = None;
     while !stop.load(Ordering::Relaxed) {
@@ -84,12 +87,15 @@
         let headers = [
             ("Host", HOST),
             ("X-Request-Id", id.as_str()),
-            ("X-Deadline-Ms", "1000"),
+            ("X-Deadline-Ms", "1500"),
         ];
         let req = request_bytes("GET", "/cold/x", &headers, b"");
         if let Some(connection) = stream.get_or_insert_with(|| connect(front)) {
             sent += 1;
-            if call_on(connection, &req, Duration::from_millis(1_500)).end != End::Complete {
+            let at = Instant::now();
+            let answer = call_on(connection, &req, Duration::from_millis(1_500));
+            record.answer(&id, &answer, at);
+            if answer.end != End::Complete {
                 stream = None;
             }
         } else {
--- a/review/standin/config_storm.rs
+++ b/review/standin/config_storm.rs
@@ -8,14 +8,14 @@
         atomic::{AtomicBool, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use crate::{
     Outcome,
     engine::{Engine, Work},
     http::{End, call_on, connect, request_bytes},
-    node::start_nodes_at,
+    node::{IN_TOUCH_AFTER, start_nodes_at},
     operator::{HOST, config_with},
     record::Record,
     store::Store,
@@ -51,7 +51,7 @@
     let Some(nodes) = start_nodes_at(&stores, folder, record) else {
         return Outcome::NotRun;
     };
-    thread::sleep(Duration::from_secs(5));
+    thread::sleep(IN_TOUCH_AFTER);
     let stop = Arc::new(AtomicBool::new(false));
     let clients: Vec<_> = (0..NODES)
         .map(|n| {
@@ -105,12 +105,14 @@
         let headers = [
             ("Host", HOST),
             ("X-Request-Id", id.as_str()),
-            ("X-Deadline-Ms", "1000"),
+            ("X-Deadline-Ms", "1200"),
         ];
         let req = request_bytes("GET", "/moved/x", &headers, b"");
         if let Some(connection) = stream.get_or_insert_with(|| connect(front)) {
-            sent.push((record.now(), id));
+            sent.push((record.now(), id.clone()));
+            let at = Instant::now();
             let answer = call_on(connection, &req, Duration::from_millis(1_200));
+            record.answer(&id, &answer, at);
             if answer.end != End::Complete {
                 stream = None;
             }
--- a/review/standin/early_answer.rs
+++ b/review/standin/early_answer.rs
@@ -12,7 +12,7 @@
     Outcome,
     engine::{Engine, Work},
     http::{call, read_request_head, request_bytes, write_response},
-    node::start_nodes,
+    node::{IN_TOUCH_AFTER, start_nodes},
     operator::{HOST, config},
     record::Record,
     store::Store,
@@ -50,7 +50,7 @@
         return Outcome::NotRun;
     };
     record.line(&format!("early servers at {early:?}"));
-    thread::sleep(Duration::from_secs(1));
+    thread::sleep(IN_TOUCH_AFTER);
     let (mut late, mut unanswered) = (0, 0);
     for n in 1..=LONG_REQUESTS {
         let node = &nodes[n % NODES];
@@ -84,17 +84,13 @@
     let headers = [
         ("Host", HOST),
         ("X-Request-Id", id),
-        ("X-Deadline-Ms", "1000"),
+        ("X-Deadline-Ms", "2000"),
     ];
     let req = request_bytes("POST", "/once/x", &headers, &vec![b'p'; bytes]);
     let sent = Instant::now();
     let answer = call(front, &req, TIMEOUT + ANSWER_MARGIN * 2);
     let took = sent.elapsed();
-    let took_ms = took.as_millis();
-    record.line(&format!(
-        "{id}, {bytes} bytes: {:?}, status {}, after {took_ms} ms",
-        answer.end, answer.status
-    ));
+    record.answer(&format!("{id}, {bytes} bytes"), &answer, sent);
     took
 }
 
--- a/review/standin/evacuation.rs
+++ b/review/standin/evacuation.rs
@@ -15,7 +15,7 @@
     Outcome,
     engine::{Engine, Work},
     http::{End, call_on, connect, request_bytes},
-    node::{Node, start_nodes},
+    node::{IN_TOUCH_AFTER, Node, start_nodes},
     operator::{HOST, config},
     record::Record,
     store::Store,
@@ -36,6 +36,8 @@
 const ANSWER_MARGIN: Duration = Duration::from_millis(500);
 /// Servers of the zone that is emptied.
 const LEAVING_SERVERS: usize = 8;
+/// Time for which a server serves after its notice: `drainMs`, and some more.
+const DRAIN_TIME: Duration = Duration::from_millis(3_400);
 /// Maximum number of evacuations.
 const MAX_ROUNDS: u32 = 20;
 /// Time after which no further evacuation begins.
@@ -73,14 +75,14 @@
     let Some(nodes) = start_nodes(NODES, &store, folder, record) else {
         return Outcome::NotRun;
     };
-    thread::sleep(Duration::from_secs(2));
+    thread::sleep(IN_TOUCH_AFTER);
     let stop = Arc::new(AtomicBool::new(false));
     let counts = Arc::new(Counts::default());
     let mut clients = Vec::new();
     for n in 0..CLIENTS {
-        let (front, stop) = (nodes[n % NODES].front, Arc::clone(&stop));
+        let (front, stop, record) = (nodes[n % NODES].front, Arc::clone(&stop), record.clone());
         clients.push(thread::spawn(move || {
-            send_prompts(n, front, started, &stop)
+            send_prompts(n, front, started, &stop, &record);
         }));
     }
     for n in 0..PLAIN_CLIENTS {
@@ -152,12 +154,13 @@
         }
         store.put("op/evacuate/zone-a", "{}");
     }
-    thread::sleep(Duration::from_millis(1_500));
+    thread::sleep(DRAIN_TIME / 2);
     for node in nodes {
         if !node.is_ready() {
             record.line(&format!("{} does not answer GET /v1/readyz", node.name));
         }
     }
+    thread::sleep(DRAIN_TIME / 2);
     for server in &servers {
         store.remove(&format!("servers/{}", server.id));
     }
@@ -166,7 +169,7 @@
 }
 
 /// Sends short prompts, one in each burst.
-fn send_prompts(n: usize, front: SocketAddr, started: Instant, stop: &AtomicBool) {
+fn send_prompts(n: usize, front: SocketAddr, started: Instant, stop: &AtomicBool, record: &Record) {
     let mut stream = None;
     let mut burst = 0;
     while !stop.load(Ordering::Relaxed) {
@@ -188,7 +191,10 @@
             ("X-Deadline-Ms", "15000"),
         ];
         let req = request_bytes("POST", "/review/x", &headers, &[b'p'; 600]);
-        if call_on(connection, &req, Duration::from_secs(15)).end != End::Complete {
+        let sent = Instant::now();
+        let answer = call_on(connection, &req, Duration::from_secs(15));
+        record.answer(&id, &answer, sent);
+        if answer.end != End::Complete {
             stream = None;
         }
     }
@@ -217,24 +223,19 @@
         let headers = [
             ("Host", HOST),
             ("X-Request-Id", id.as_str()),
-            ("X-Deadline-Ms", "1000"),
+            ("X-Deadline-Ms", "2000"),
         ];
         let req = request_bytes("POST", "/once/x", &headers, b"body");
         let sent = Instant::now();
-        let limit = PLAIN_TIMEOUT + ANSWER_MARGIN + Duration::from_millis(100);
+        let limit = PLAIN_TIMEOUT * 2;
         let answer = call_on(connection, &req, limit);
+        record.answer(&format!("{id} to {node}"), &answer, sent);
         counts.sent.fetch_add(1, Ordering::Relaxed);
         if sent.elapsed() > PLAIN_TIMEOUT {
             if sent.elapsed() > PLAIN_TIMEOUT + ANSWER_MARGIN {
                 counts.unanswered.fetch_add(1, Ordering::Relaxed);
             }
             counts.late.fetch_add(1, Ordering::Relaxed);
-            record.line(&format!(
-                "{id} to {node}: {:?}, status {}, after {} ms",
-                answer.end,
-                answer.status,
-                sent.elapsed().as_millis()
-            ));
         }
         if answer.end != End::Complete {
             stream = None;
--- a/review/standin/node.rs
+++ b/review/standin/node.rs
@@ -18,6 +18,9 @@
 /// Time within which a node has to be ready.
 const START_LIMIT: Duration = Duration::from_secs(8);
 
+/// Time from the start of a node until it counts as in touch: the longest `contactMs` of the cases' sites, 4 s, and some
+/// more.
+pub const IN_TOUCH_AFTER: Duration = Duration::from_millis(5_500);
 /// Most seeds that the platform names.
 pub const MAX_SEEDS: usize = 3;
 
--- a/review/standin/queued_at_shutdown.rs
+++ b/review/standin/queued_at_shutdown.rs
@@ -6,7 +6,7 @@
     Outcome,
     engine::{Engine, Work},
     http::{Answer, End, call, request_bytes},
-    node::start_nodes,
+    node::{IN_TOUCH_AFTER, start_nodes},
     operator::{HOST, config},
     record::Record,
     store::Store,
@@ -28,7 +28,7 @@
         return Outcome::NotRun;
     };
     let node = &mut nodes[0];
-    thread::sleep(Duration::from_secs(1));
+    thread::sleep(IN_TOUCH_AFTER);
     let front = node.front;
     let clients: Vec<_> = (1..=PROMPTS)
         .map(|n| {
--- a/review/standin/record.rs
+++ b/review/standin/record.rs
@@ -8,6 +8,8 @@
     time::Instant,
 };
 
+use crate::http::Answer;
+
 /// A file of lines with the time since the start.
 #[derive(Clone)]
 pub struct Record {
@@ -29,6 +31,15 @@
         self.started.elapsed().as_secs_f64()
     }
 
+    /// Records a request that was sent at `sent`, and what its client saw of the answer.
+    pub fn answer(&self, id: &str, answer: &Answer, sent: Instant) {
+        let ms = sent.elapsed().as_millis();
+        let (end, status) = (answer.end, answer.status);
+        self.line(&format!(
+            "client of {id}, sent {ms} ms ago: {end:?}, status {status}"
+        ));
+    }
+
     pub fn line(&self, text: &str) {
         let line = format!("{:8.3} s  {text}\n", self.now());
         let _ = self.file.lock().unwrap().write_all(line.as_bytes());
