Answer requests that are unanswered at the end of a drain

Cause: Node::close waits for requests until the drain time is over, closes the connections and returns. The end of the runtime then drops the handlers of requests that still wait: for an engine, a body, a limit, a retry, a peer or the first event. Nothing ends these waits before.

The drain now ends 0.25 s before the node stops. RequestHandler then ends each request that has no response yet, with 503 if it has not run and with 502 if an upstream or a peer may have run it. DispatchStatus counts the attempts that may have run, including the one in progress, which the counts of failed attempts leave out. Waits and deadlines that begin during a drain are limited to the drain. A peer's request is refused with 421, so that its node tries another.

Streams that have begun can't be completed after their node has stopped; they end without the mark of a whole body.

--- a/crates/oleanderpost-serving/src/admitted_request.rs
+++ b/crates/oleanderpost-serving/src/admitted_request.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     Account, AttemptError, BootTime, RequestFingerprint, RequestHead, Route, ServiceName,
-    body_budget::BodyAllocation,
+    body_budget::BodyAllocation, dispatch_status::DispatchStatus,
 };
 
 /// Longest gap between events of a stream that callers expect, if the route does not state one.
@@ -30,6 +30,8 @@
     /// Version of the configuration under which the request was admitted.
     pub(crate) config_version: u64,
     pub(crate) arrived_at: BootTime,
+    /// Whether the request may have run.
+    pub(crate) dispatch: Arc<DispatchStatus>,
     /// Set by [`fingerprint`](Self::fingerprint).
     pub(crate) fingerprint: OnceLock<RequestFingerprint>,
 }
--- a/crates/oleanderpost-serving/src/buffered_proxy.rs
+++ b/crates/oleanderpost-serving/src/buffered_proxy.rs
@@ -107,7 +107,7 @@
         let started = Instant::now();
         let headers = AttemptHeaders {
             upstream: &upstream.id,
-            deadline: request.time_left(),
+            deadline: self.entry.time_left(request),
             account: request.account.as_ref().map(|account| &account.name),
             priority: None,
             helpers: Vec::new(),
@@ -137,7 +137,7 @@
 
     /// Timeout of the current attempt: all the time that is left if no other attempt may follow.
     fn attempt_timeout(&self) -> Duration {
-        let time_left = self.request.time_left();
+        let time_left = self.entry.time_left(self.request);
         let route = &self.request.route;
         let is_last =
             !route.kind.is_repeatable() || self.attempts.may_have_run + 1 >= route.max_attempts;
--- /dev/null
+++ b/crates/oleanderpost-serving/src/dispatch_status.rs
@@ -0,0 +1,31 @@
+//! [`DispatchStatus`].
+
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use crate::RunStatus;
+
+/// Tells whether an upstream or a peer may have run a request, while attempts at it are in progress.
+#[derive(Debug, Default)]
+pub(crate) struct DispatchStatus {
+    /// Attempts that are not known to have left the request unrun.
+    attempts: AtomicU32,
+}
+
+impl DispatchStatus {
+    /// Records that the request is about to be sent.
+    pub(crate) fn begin_attempt(&self) {
+        self.attempts.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Records how an attempt failed.
+    pub(crate) fn end_failed_attempt(&self, ran: RunStatus) {
+        if !ran.may_have_run() {
+            self.attempts.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Whether the request may have run, or may run yet.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.attempts.load(Ordering::Relaxed) > 0
+    }
+}
--- a/crates/oleanderpost-serving/src/engine_finder.rs
+++ b/crates/oleanderpost-serving/src/engine_finder.rs
@@ -215,7 +215,7 @@
         if pauses.len() < state.usable_upstreams(&self.request.service).len() {
             return Ok(());
         }
-        if first_end > max_wait(&self.request) {
+        if first_end > max_wait(&self.entry, &self.request) {
             return Err(PlacementError::Refused(spread_return(first_end)));
         }
         sleep(first_end).await;
--- a/crates/oleanderpost-serving/src/entry_context.rs
+++ b/crates/oleanderpost-serving/src/entry_context.rs
@@ -119,6 +119,15 @@
             .retain(BootTime::now(), |id| directory.get(id).is_some());
     }
 
+    /// Time left for the request at this node: until the time limit of the request, or until the end of a drain.
+    pub(crate) fn time_left(&self, request: &AdmittedRequest) -> Duration {
+        let time_left = request.time_left();
+        let drain = self.state.active_drain();
+        drain.map_or(time_left, |drain| {
+            time_left.min(drain.time_left(BootTime::now()))
+        })
+    }
+
     /// Whether the request may be sent to another upstream after failed attempts; takes the retry from the
     /// budget.
     pub(crate) async fn may_retry(&self, request: &AdmittedRequest, attempts: Attempts) -> bool {
@@ -128,7 +137,7 @@
         if is_relayed
             || self.must_not_dispatch(request)
             || self.quarantine_left(request).is_some()
-            || !terms.permit(attempts, request.time_left())
+            || !terms.permit(attempts, self.time_left(request))
         {
             return false;
         }
@@ -142,7 +151,7 @@
             return true;
         }
         let service = &request.service;
-        let taken = timeout(request.time_left(), self.scheduler.take_retry(service));
+        let taken = timeout(self.time_left(request), self.scheduler.take_retry(service));
         let allowed = taken.await.unwrap_or(false);
         self.retry_counters.note_retry(service, allowed);
         self.metrics.count_retry(service, allowed);
@@ -171,7 +180,7 @@
     /// sent.
     pub(crate) fn may_replace(&self, request: &AdmittedRequest, e: &AttemptError) -> bool {
         e.step == EVACUATED_STEP
-            && !request.time_left().is_zero()
+            && !self.time_left(request).is_zero()
             && !self.must_not_dispatch(request)
             && self.quarantine_left(request).is_none()
     }
--- a/crates/oleanderpost-serving/src/lib.rs
+++ b/crates/oleanderpost-serving/src/lib.rs
@@ -45,6 +45,7 @@
 mod decision;
 mod discovery;
 mod discovery_source;
+mod dispatch_status;
 mod drain;
 mod engine_control;
 mod engine_finder;
--- a/crates/oleanderpost-serving/src/node.rs
+++ b/crates/oleanderpost-serving/src/node.rs
@@ -30,9 +30,9 @@
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Minimum duration of a drain: load balancers need this time to stop sending requests to the node.
 const MIN_DRAIN_TIME: Duration = Duration::from_millis(2_600);
-/// Time for closing idle connections of callers at the end of a drain that took all of its time. Less than what the
-/// drain time leaves of the time until the process is killed.
-const MIN_CLOSE_TIME: Duration = Duration::from_millis(100);
+/// Part of the drain time for the last responses: those to requests that are unanswered until then, and the rest of
+/// responses in progress.
+const CLOSE_TIME: Duration = Duration::from_millis(250);
 /// Time limit for closing the links to other nodes.
 const LINKS_CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Interval between clean-ups of state that belongs to removed upstreams.
@@ -213,14 +213,15 @@
 
     /// Drains the node and stops it: reports that the node is not ready, and waits until the requests in
     /// progress have ended or the drain time is over. Then closes the connections of callers; requests that have just
-    /// arrived on them are still answered.
+    /// arrived on them are still answered, and those that have no response at the end of the drain are rejected.
     pub async fn close(mut self) {
         spdlog::info!("draining", kv: { in_progress = self.entry.in_progress() });
         let drain_time = self
             .settings
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
-            .drain_time();
+            .drain_time()
+            .saturating_sub(CLOSE_TIME);
         self.state.start_drain(drain_time);
         self.scheduler_host.stop_serving();
         let started_at = Instant::now();
@@ -232,7 +233,11 @@
             sleep(DRAIN_POLL_INTERVAL).await;
         }
         let time_left = drain_time.saturating_sub(started_at.elapsed());
-        let closed = timeout(time_left.max(MIN_CLOSE_TIME), self.connections.close()).await;
+        let mut closed = timeout(time_left, self.connections.close()).await;
+        if closed.is_err() {
+            self.state.end_drain();
+            closed = timeout(CLOSE_TIME, self.connections.close()).await;
+        }
         if closed.is_err() {
             spdlog::warn!("stopping with open connections", kv: { open = self.connections.open() });
         }
--- a/crates/oleanderpost-serving/src/node_state.rs
+++ b/crates/oleanderpost-serving/src/node_state.rs
@@ -12,6 +12,7 @@
 use oleanderpost_types::VmId;
 use rand::RngExt;
 use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     BootTime, ColdUpstream, ConfigDelta, Drain, Evidence, LogRateLimiter, PeerChanges,
@@ -27,6 +28,8 @@
     evidence: Mutex<Evidence>,
     max_evidence_age: Duration,
     drain: OnceLock<Drain>,
+    /// Cancelled when a drain ends, with requests unanswered or not.
+    drain_ended: CancellationToken,
     /// Position of the store up to which changes have been applied, and what was removed before.
     history: Mutex<StoreHistory>,
     /// Latest evidence from a peer, and when it was requested.
@@ -64,6 +67,7 @@
             evidence: Mutex::default(),
             max_evidence_age,
             drain: OnceLock::new(),
+            drain_ended: CancellationToken::new(),
             history: Mutex::default(),
             latest_peer_evidence: Mutex::default(),
             peer_evidence_recorded: Notify::new(),
@@ -559,6 +563,16 @@
             .get_or_init(|| Drain::new(BootTime::now(), limit));
     }
 
+    /// Ends the drain: requests that have no response yet get one now.
+    pub(crate) fn end_drain(&self) {
+        self.drain_ended.cancel();
+    }
+
+    /// Waits until a drain ends.
+    pub(crate) async fn drain_ended(&self) {
+        self.drain_ended.cancelled().await;
+    }
+
     /// The drain in progress, if the node is draining.
     #[must_use]
     pub fn active_drain(&self) -> Option<&Drain> {
--- a/crates/oleanderpost-serving/src/peer_relay.rs
+++ b/crates/oleanderpost-serving/src/peer_relay.rs
@@ -2,9 +2,13 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use http::{Response, StatusCode};
-use http_body_util::BodyExt;
-use hyper::{body::Incoming, client::conn::http1};
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
 use hyper_util::rt::TokioIo;
 use tokio::{
     net::TcpStream,
@@ -94,7 +98,7 @@
         peer: SocketAddr,
     ) -> Result<Response<ResponseBody>, RelayError> {
         let not_run = |cause: &dyn std::fmt::Display| RelayError::new(RunStatus::NotRun, cause);
-        let deadline = Instant::now() + request.time_left();
+        let deadline = Instant::now() + self.entry.time_left(request);
         let connect_deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
         let stream = timeout_at(connect_deadline, TcpStream::connect(peer)).await;
         let stream = stream.map_err(|e| not_run(&e))?.map_err(|e| not_run(&e))?;
@@ -108,7 +112,7 @@
             }
         });
         // The process may have been suspended since the last check.
-        let time_left = request.time_left();
+        let time_left = self.entry.time_left(request);
         if time_left.is_zero() {
             return Err(not_run(&"time limit of the request has passed"));
         }
@@ -116,19 +120,9 @@
             self.entry
                 .codec
                 .build_relayed_request(&request.parts, time_left, request.body.clone());
-        let sent = timeout_at(deadline, sender.send_request(relayed)).await;
-        let sent = sent.map_err(|e| RelayError::new(RunStatus::MayHaveRun, e))?;
-        let resp = sent.map_err(|e| {
-            let ran = if e.is_canceled() {
-                RunStatus::NotRun
-            } else {
-                RunStatus::MayHaveRun
-            };
-            RelayError::new(ran, e)
-        })?;
-        if resp.status() == StatusCode::MISDIRECTED_REQUEST {
-            return Err(not_run(&"the peer accepts no relayed requests"));
-        }
+        request.dispatch.begin_attempt();
+        let resp = exchange(&mut sender, relayed, deadline).await;
+        let resp = resp.inspect_err(|e| request.dispatch.end_failed_attempt(e.ran))?;
         self.log_relayed(request, peer, resp.status());
         let (parts, body) = resp.into_parts();
         let (tx, rx) = mpsc::channel(CHUNK_BUFFER_LEN);
@@ -156,10 +150,33 @@
     }
 }
 
+/// Sends a request to a peer and waits for the head of the response.
+async fn exchange(
+    sender: &mut SendRequest<Full<Bytes>>,
+    relayed: Request<Full<Bytes>>,
+    deadline: Instant,
+) -> Result<Response<Incoming>, RelayError> {
+    let sent = timeout_at(deadline, sender.send_request(relayed)).await;
+    let sent = sent.map_err(|e| RelayError::new(RunStatus::MayHaveRun, e))?;
+    let resp = sent.map_err(|e| {
+        let ran = if e.is_canceled() {
+            RunStatus::NotRun
+        } else {
+            RunStatus::MayHaveRun
+        };
+        RelayError::new(ran, e)
+    })?;
+    if resp.status() == StatusCode::MISDIRECTED_REQUEST {
+        let cause = "the peer accepts no relayed requests";
+        return Err(RelayError::new(RunStatus::NotRun, cause));
+    }
+    Ok(resp)
+}
+
 /// Copies the body of a peer's response until it ends, fails or is late.
 async fn copy_body(
     mut body: Incoming,
-    tx: &mpsc::Sender<Result<Option<bytes::Bytes>, ResponseAborted>>,
+    tx: &mpsc::Sender<Result<Option<Bytes>, ResponseAborted>>,
     deadline: Instant,
 ) {
     loop {
--- a/crates/oleanderpost-serving/src/plain_selector.rs
+++ b/crates/oleanderpost-serving/src/plain_selector.rs
@@ -49,7 +49,7 @@
         let Some((wait, upstream)) = next_permit else {
             return Err(NO_UPSTREAM_RETRY_AFTER);
         };
-        let max_wait = max_wait(self.request);
+        let max_wait = max_wait(self.entry, self.request);
         if wait > max_wait {
             self.log_limited("request not sent: limit of the upstream", &upstream, wait);
             return Err(spread_return(wait));
--- a/crates/oleanderpost-serving/src/rejection.rs
+++ b/crates/oleanderpost-serving/src/rejection.rs
@@ -45,6 +45,8 @@
     UpstreamFailed,
     /// The time limit passed; the request may have run.
     TimedOut,
+    /// The node stops before the upstream has answered; the request may have run.
+    Interrupted,
 }
 
 impl Rejection {
@@ -63,7 +65,7 @@
             | Self::Quarantined(_)
             | Self::Evacuated => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRelay => StatusCode::MISDIRECTED_REQUEST,
-            Self::UpstreamFailed => StatusCode::BAD_GATEWAY,
+            Self::UpstreamFailed | Self::Interrupted => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
     }
@@ -85,6 +87,7 @@
             Self::Evacuated => "evacuated",
             Self::UpstreamFailed => "upstream_failed",
             Self::TimedOut => "timed_out",
+            Self::Interrupted => "interrupted",
         }
     }
 
--- a/crates/oleanderpost-serving/src/request_handler.rs
+++ b/crates/oleanderpost-serving/src/request_handler.rs
@@ -14,7 +14,8 @@
 use crate::{
     Attempts, BootTime, EntryContext, Rejection, RequestId, ResponseBody, Route, ServingConfig,
     admitted_request::AdmittedRequest, body_budget::BodyAllocation, buffered_proxy::BufferedProxy,
-    in_progress_guard::InProgressGuard, peer_relay::PeerRelay, stream_proxy::StreamProxy,
+    dispatch_status::DispatchStatus, in_progress_guard::InProgressGuard, peer_relay::PeerRelay,
+    stream_proxy::StreamProxy,
 };
 
 /// Longest time for receiving a request body; a shorter deadline or route timeout takes precedence.
@@ -38,22 +39,36 @@
 
     /// Handles one request.
     pub async fn handle(&self, req: Request<Incoming>) -> Response<ResponseBody> {
-        let arrived_at = BootTime::now();
-        let in_progress = InProgressGuard::new(Arc::clone(&self.entry));
         let (parts, body) = req.into_parts();
         let parts = Arc::new(parts);
-        let request = match self.admit(arrived_at, &parts, body).await {
+        let dispatch = Arc::new(DispatchStatus::default());
+        tokio::select! {
+            biased;
+            response = self.serve(&parts, body, &dispatch) => response,
+            () = self.entry.state.drain_ended() => self.reject_unanswered(&parts, &dispatch),
+        }
+    }
+
+    async fn serve(
+        &self,
+        parts: &Arc<http::request::Parts>,
+        body: Incoming,
+        dispatch: &Arc<DispatchStatus>,
+    ) -> Response<ResponseBody> {
+        let arrived_at = BootTime::now();
+        let in_progress = InProgressGuard::new(Arc::clone(&self.entry));
+        let request = match self.admit(arrived_at, parts, body, dispatch).await {
             Ok(request) => request,
-            Err(Rejection::Draining | Rejection::NotReady) if self.is_relayed(&parts) => {
-                return self.reject(&parts, Rejection::NoRelay);
+            Err(Rejection::Draining | Rejection::NotReady) if self.is_relayed(parts) => {
+                return self.reject(parts, Rejection::NoRelay);
             }
-            Err(rejection) => return self.reject(&parts, rejection),
+            Err(rejection) => return self.reject(parts, rejection),
         };
         if let Some(left) = self.entry.quarantine_left(&request) {
             return self.reject_quarantined(&request, left);
         }
         if self.entry.reach.is_lost() && request.head.relayed {
-            return self.reject(&parts, Rejection::NoRelay);
+            return self.reject(parts, Rejection::NoRelay);
         }
         // The node that has relayed a request counts it.
         if !request.head.relayed {
@@ -83,6 +98,7 @@
         arrived_at: BootTime,
         parts: &Arc<http::request::Parts>,
         body: Incoming,
+        dispatch: &Arc<DispatchStatus>,
     ) -> Result<AdmittedRequest, Rejection> {
         let head = self
             .entry
@@ -137,6 +153,7 @@
             service,
             config_version: config.version(),
             arrived_at,
+            dispatch: Arc::clone(dispatch),
             fingerprint: OnceLock::new(),
         })
     }
@@ -197,8 +214,37 @@
         rejection.response()
     }
 
-    /// Builds the response to a rejected request, and logs and counts the rejection.
+    /// Rejects a request that has no response at the end of the drain.
+    fn reject_unanswered(
+        &self,
+        parts: &http::request::Parts,
+        dispatch: &DispatchStatus,
+    ) -> Response<ResponseBody> {
+        let rejection = if dispatch.may_have_run() {
+            Rejection::Interrupted
+        } else if self.is_relayed(parts) {
+            Rejection::NoRelay
+        } else {
+            Rejection::Draining
+        };
+        self.log_and_respond(
+            "request unanswered at the end of the drain",
+            parts,
+            rejection,
+        )
+    }
+
+    /// Builds the response to a request that is not admitted, and logs and counts the rejection.
     fn reject(&self, parts: &http::request::Parts, rejection: Rejection) -> Response<ResponseBody> {
+        self.log_and_respond("request not admitted", parts, rejection)
+    }
+
+    fn log_and_respond(
+        &self,
+        message: &str,
+        parts: &http::request::Parts,
+        rejection: Rejection,
+    ) -> Response<ResponseBody> {
         self.entry.metrics.count_rejection(rejection);
         if !self.entry.may_log() {
             return rejection.response();
@@ -218,7 +264,7 @@
             .state
             .evidence_age()
             .map_or(-1.0, |evidence_age| evidence_age.as_secs_f64() * 1e3);
-        spdlog::info!("request not admitted", kv: {
+        spdlog::info!("{message}", kv: {
             request = id.as_str(), reason = rejection.name(), status = rejection.status().as_u16(),
             version, evidence_age_ms = evidence_age as i64
         });
--- a/crates/oleanderpost-serving/src/stream_proxy.rs
+++ b/crates/oleanderpost-serving/src/stream_proxy.rs
@@ -203,7 +203,7 @@
         let time_limit = self.first_event_timeout(&placement);
         let headers = AttemptHeaders {
             upstream: &upstream.id,
-            deadline: self.request.time_left(),
+            deadline: self.entry.time_left(&self.request),
             account: self.request.account.as_ref().map(|account| &account.name),
             priority: Some(self.request.priority().min(9)),
             helpers: placement.helpers.clone(),
--- a/crates/oleanderpost-serving/src/upstream_client.rs
+++ b/crates/oleanderpost-serving/src/upstream_client.rs
@@ -2,8 +2,9 @@
 
 use std::{io::ErrorKind, sync::Arc, time::Duration};
 
-use http::StatusCode;
-use http_body_util::{BodyExt, Limited};
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
 use tokio::time::timeout;
 
 use crate::{
@@ -64,7 +65,7 @@
         headers: AttemptHeaders<'_>,
         time_limit: Duration,
     ) -> Result<UpstreamResponse, AttemptError> {
-        let mut connection = match self.pool.acquire(upstream).await {
+        let connection = match self.pool.acquire(upstream).await {
             Ok(connection) => connection,
             Err(cause) => {
                 let is_lost = self.reach.check(&self.state).await;
@@ -81,6 +82,25 @@
         let upstream_request =
             self.codec
                 .build_request(&request.parts, &headers, request.body.clone());
+        request.dispatch.begin_attempt();
+        let exchanged = self
+            .exchange(request, upstream, connection, upstream_request, time_limit)
+            .await;
+        if let Err(e) = &exchanged {
+            request.dispatch.end_failed_attempt(e.ran);
+        }
+        exchanged
+    }
+
+    /// Writes the request to the connection and waits up to `time_limit` for the head of the response.
+    async fn exchange(
+        &self,
+        request: &AdmittedRequest,
+        upstream: &Upstream,
+        mut connection: UpstreamConnection,
+        upstream_request: Request<Full<Bytes>>,
+        time_limit: Duration,
+    ) -> Result<UpstreamResponse, AttemptError> {
         let sent_at = BootTime::now();
         let waiting = self.reach.wait();
         let sent = timeout(time_limit, connection.sender.send_request(upstream_request)).await;
--- a/crates/oleanderpost-serving/src/upstream_wait.rs
+++ b/crates/oleanderpost-serving/src/upstream_wait.rs
@@ -4,7 +4,7 @@
 
 use rand::RngExt;
 
-use crate::admitted_request::AdmittedRequest;
+use crate::{EntryContext, admitted_request::AdmittedRequest};
 
 /// Share of the route's latency objective for which a request may wait until an upstream accepts requests again.
 const MAX_WAIT_SHARE: f64 = 0.5;
@@ -13,9 +13,9 @@
 const RETURN_SPREAD: f64 = 0.25;
 
 /// Longest time for which a request waits until an upstream accepts requests again.
-pub(crate) fn max_wait(request: &AdmittedRequest) -> Duration {
+pub(crate) fn max_wait(entry: &EntryContext, request: &AdmittedRequest) -> Duration {
     let share_of_objective = request.route.objective.mul_f64(MAX_WAIT_SHARE);
-    share_of_objective.min(request.time_left())
+    share_of_objective.min(entry.time_left(request))
 }
 
 /// Delay after which one of several callers should retry if upstreams accept requests again after `wait`.
