Reject empty answers without a length as broken off

Callers got a 200 with an empty body, framed as whole, when an upstream sent the head of an answer without a length and stopped: nothing distinguishes its end from the end of the answer.

Inside the head nothing was wrong: hyper returns an error, and the caller gets 502.

A success that ends with its connection and has no byte of a body, or no event, is now a failed attempt that may have run. A repeatable stream is sent to another engine, other requests get 502. An empty answer with a stated length, or with chunks, is whole as before, and so is an answer to HEAD, 204 or 304.

--- a/crates/oleanderpost-serving/src/stream_proxy.rs
+++ b/crates/oleanderpost-serving/src/stream_proxy.rs
@@ -20,7 +20,7 @@
     placement::Placement,
     upstream_client::{EVACUATED_STEP, MISDIRECTED_STEP, NO_PATH_STEP, REFUSED_STEP},
     upstream_pool::UpstreamConnection,
-    upstream_response::{UpstreamResponse, caller_response},
+    upstream_response::{CLOSED_AFTER_HEAD, UpstreamResponse, caller_response},
 };
 
 /// Number of events buffered for a slow caller. While the buffer is full, the engine's connection is not
@@ -228,6 +228,7 @@
             let (parts, body) = collected.map_err(|e| e.into_attempt_error(&upstream.id))?;
             return Ok(AttemptOutcome::Response(parts, body));
         }
+        let is_close_delimited = response.is_close_delimited();
         let UpstreamResponse {
             parts,
             head,
@@ -239,6 +240,12 @@
             first_item = reader.next_event(time_limit.saturating_sub(started.elapsed())) => first_item,
             () = placement.reservation_lost() => Err(EventError::EngineLost),
         };
+        let first_item = match first_item {
+            Ok(StreamItem::End) if is_close_delimited => {
+                Err(EventError::Disconnected(CLOSED_AFTER_HEAD.to_owned()))
+            }
+            first_item => first_item,
+        };
         let first_item = match first_item {
             Ok(first_item) => first_item,
             Err(cause) => {
--- a/crates/oleanderpost-serving/src/upstream_response.rs
+++ b/crates/oleanderpost-serving/src/upstream_response.rs
@@ -9,7 +9,7 @@
     response::Parts,
 };
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use tokio::time::timeout;
 
 use crate::{
@@ -19,6 +19,8 @@
 
 /// Largest response body that is buffered in memory, in bytes.
 const MAX_BUFFERED_BODY_BYTES: usize = 8 << 20;
+/// Cause of errors of responses that end with their connection and are empty.
+pub(crate) const CLOSED_AFTER_HEAD: &str = "connection closed after the head of the response";
 /// Hop-by-hop headers, which apply to a single connection (RFC 9110, section 7.6.1).
 const HOP_BY_HOP: [HeaderName; 4] = [
     CONNECTION,
@@ -61,12 +63,19 @@
 }
 
 impl UpstreamResponse {
+    /// Whether the response states no length, so that the end of the connection ends it.
+    pub(crate) fn is_close_delimited(&self) -> bool {
+        self.body.size_hint().exact().is_none()
+            && !self.parts.headers.contains_key(TRANSFER_ENCODING)
+    }
+
     /// Reads the whole body, and returns the connection to the pool unless the upstream closes it.
     pub(crate) async fn collect(
         self,
         pool: &UpstreamPool,
         limit: Duration,
     ) -> Result<(Parts, Bytes), BodyError> {
+        let is_close_delimited = self.is_close_delimited();
         let body = timeout(
             limit,
             Limited::new(self.body, MAX_BUFFERED_BODY_BYTES).collect(),
@@ -78,6 +87,10 @@
             false => BodyError::Disconnected(e.to_string()),
         })?;
         let body = body.to_bytes();
+        // An upstream that stops between the head and the body looks the same.
+        if is_close_delimited && body.is_empty() && self.parts.status.is_success() {
+            return Err(BodyError::Disconnected(CLOSED_AFTER_HEAD.to_owned()));
+        }
         if self.head.allows_reuse() {
             pool.release(self.connection, self.head.keep_alive);
         }
