Keep streams whose engines are silent for less time than they hold memory

A stream with a prompt that takes the memory of several engines was broken off in its middle, or run again, when an engine gave no reply to two renewals of its reservation, 1.3 to 2.6 s after the last one that succeeded. The engine holds the memory for 3 s, may only be pausing, and sends the rest of the answer after the pause: its silence says nothing about the answer. Callers saw a 200 whose body in chunks ended early.

A renewal without a reply is now sent again after 0.3 s, and the reservation counts as lost when the engine has been silent until the memory is no longer held. Renewals that are refused, or whose connection fails, count as before. If an engine is gone, the one that serves the stream ends it by itself.

Whether this is what the users saw beside configurations and pausing upstreams is not known.

--- a/crates/oleanderpost-serving/src/reservations.rs
+++ b/crates/oleanderpost-serving/src/reservations.rs
@@ -4,7 +4,7 @@
 
 use tokio::{
     task::JoinSet,
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -17,7 +17,9 @@
 const RENEW_INTERVAL: Duration = Duration::from_millis(900);
 /// Timeout for the reply to an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
-/// Consecutive failed renewals after which the reservation is considered lost.
+/// Delay before a renewal that got no reply is sent again: several of them fit into the time for which memory is held.
+const SILENT_RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Consecutive renewals that are refused, or whose connection fails, after which the reservation is considered lost.
 const MAX_RENEW_FAILURES: u32 = 2;
 /// Maximum number of attempts to release a reservation.
 const MAX_RELEASE_ATTEMPTS: u32 = 3;
@@ -29,6 +31,17 @@
     pub(crate) cause: String,
 }
 
+/// Why an order to reserve memory failed.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+enum OrderError {
+    /// The engine did not reply in time; it may have executed the order, or execute it later.
+    #[error("no reply to the reservation in time")]
+    NoReply,
+    /// The engine refused the order, or the connection failed.
+    #[error("{0}")]
+    Failed(String),
+}
+
 /// Memory reserved on several engines for one prompt; released on drop.
 pub(crate) struct Reservations {
     control: Arc<dyn EngineControl>,
@@ -83,10 +96,10 @@
             lost,
         };
         for (task, engine) in tasks.into_iter().zip(engines) {
-            let reserved = task.await.map_err(|e| e.to_string()).flatten();
-            reserved.map_err(|cause| ReserveError {
+            let reserved = task.await.map_err(|e| OrderError::Failed(e.to_string()));
+            reserved.flatten().map_err(|e| ReserveError {
                 engine: *engine,
-                cause,
+                cause: e.to_string(),
             })?;
         }
         Ok(reservations)
@@ -124,17 +137,19 @@
     tokens: u64,
     hold: Duration,
     may_send: &MaySend,
-) -> Result<(), String> {
+) -> Result<(), OrderError> {
     let order = control.reserve(engine, id, tokens, hold, may_send);
     let reply = timeout(ORDER_TIMEOUT, order).await;
-    match reply.map_err(|_| format!("{engine} did not reply to the reservation in time"))?? {
+    let reply = reply.map_err(|_| OrderError::NoReply)?;
+    match reply.map_err(OrderError::Failed)? {
         ReserveAnswer::Held => Ok(()),
-        ReserveAnswer::Full => Err(format!("{engine} has too little free memory")),
+        ReserveAnswer::Full => Err(OrderError::Failed("too little free memory".to_owned())),
     }
 }
 
-/// Renews one reservation periodically and cancels `lost` after [`MAX_RENEW_FAILURES`] consecutive
-/// failures.
+/// Renews one reservation periodically and cancels `lost` when it is lost: after [`MAX_RENEW_FAILURES`] consecutive
+/// failures, or when the engine has been silent until the memory is no longer held. A silent engine may still serve the
+/// request.
 async fn keep_renewed(
     control: Arc<dyn EngineControl>,
     engine: SocketAddr,
@@ -144,16 +159,27 @@
     lost: CancellationToken,
 ) {
     let mut failures = 0;
-    while failures < MAX_RENEW_FAILURES {
-        sleep(RENEW_INTERVAL).await;
-        match reserve(&*control, engine, &id, tokens, hold, &|_| true).await {
-            Ok(()) => failures = 0,
-            Err(cause) => {
-                failures += 1;
-                spdlog::warn!("failed to renew reservation", kv: {
-                    engine: = engine, reservation = id.as_str(), cause = cause.as_str(), failures
-                });
-            }
+    let mut delay = RENEW_INTERVAL;
+    let mut held_until = Instant::now() + hold;
+    loop {
+        sleep(delay).await;
+        let sent_at = Instant::now();
+        let Err(e) = reserve(&*control, engine, &id, tokens, hold, &|_| true).await else {
+            (failures, delay) = (0, RENEW_INTERVAL);
+            held_until = sent_at + hold;
+            continue;
+        };
+        if e == OrderError::NoReply {
+            delay = SILENT_RETRY_DELAY;
+        } else {
+            (failures, delay) = (failures + 1, RENEW_INTERVAL);
+        }
+        let is_lost = failures >= MAX_RENEW_FAILURES || Instant::now() >= held_until;
+        spdlog::warn!("failed to renew reservation", kv: {
+            engine: = engine, reservation = id.as_str(), cause: = e, failures, lost = is_lost
+        });
+        if is_lost {
+            break;
         }
     }
     lost.cancel();
