Confirm with more upstreams that the paths to all of them are lost

A node rejected requests although most of what it served was reachable: when a connection was refused it tried three upstreams at random, and if all three refused too, it believed to have lost all paths. With entries of processes that are gone in the list, that happens by chance: three of three from six of ten is one in six.

odd_entries_neither_end_the_node_nor_keep_it_from_following_the_list failed once beside other work; its log shows "no path to any upstream" and then 503.

If the first three refuse, the check now tries up to 16 others before it decides. If any of the three is silent, as in a partition, it decides at once as before, so detection takes no longer.

--- a/crates/oleanderpost-serving/src/upstream_reach.rs
+++ b/crates/oleanderpost-serving/src/upstream_reach.rs
@@ -1,6 +1,7 @@
 //! [`UpstreamReach`].
 
 use std::{
+    io::ErrorKind,
     net::SocketAddr,
     sync::{
         Mutex, PoisonError,
@@ -9,7 +10,7 @@
     time::Duration,
 };
 
-use rand::seq::IteratorRandom;
+use rand::seq::{IteratorRandom, SliceRandom};
 use tokio::{
     net::TcpStream,
     task::JoinSet,
@@ -20,6 +21,8 @@
 
 /// Number of upstreams that a check connects to.
 const CHECKED_UPSTREAMS: usize = 3;
+/// Number of others that it connects to if all of these refuse the connection: their processes may be gone.
+const CONFIRMING_UPSTREAMS: usize = 16;
 /// Timeout of these connections; within a region they open in a few milliseconds.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 /// Interval between looks at the time of the last response, and between checks.
@@ -83,7 +86,7 @@
         if last_check.is_some_and(|at| at.elapsed() < CHECK_INTERVAL) {
             return self.is_lost();
         }
-        let is_lost = !reaches_any(&sample_addresses(state)).await;
+        let is_lost = is_unreachable(&sample_addresses(state)).await;
         *last_check = Some(Instant::now());
         if self.is_lost.swap(is_lost, Ordering::Relaxed) != is_lost {
             if is_lost {
@@ -114,28 +117,57 @@
     }
 }
 
-/// Addresses of some upstreams; empty if too few are known to tell the node's fault from theirs.
+/// Addresses of some upstreams in random order; empty if too few are known to tell the node's fault from theirs.
 fn sample_addresses(state: &NodeState) -> Vec<SocketAddr> {
     let directory = state.directory();
     let usable = directory.ids().filter(|id| directory.is_usable(id));
     let addresses = usable.filter_map(|id| Some(directory.get(id)?.address));
-    let sample = addresses.sample(&mut rand::rng(), CHECKED_UPSTREAMS);
+    let rng = &mut rand::rng();
+    let mut sample = addresses.sample(rng, CHECKED_UPSTREAMS + CONFIRMING_UPSTREAMS);
     if sample.len() < CHECKED_UPSTREAMS {
         return Vec::new();
     }
+    sample.shuffle(rng);
     sample
 }
 
-/// Whether a connection to one of the addresses can be opened; also if there are none.
-async fn reaches_any(addresses: &[SocketAddr]) -> bool {
+/// Whether no connection to any of the addresses can be opened; not if there are none.
+async fn is_unreachable(addresses: &[SocketAddr]) -> bool {
+    let (first, others) = addresses.split_at(CHECKED_UPSTREAMS.min(addresses.len()));
+    match connect_any(first).await {
+        PathCheck::Reached => false,
+        PathCheck::Silent => true,
+        PathCheck::Refused => others.is_empty() || connect_any(others).await != PathCheck::Reached,
+    }
+}
+
+/// Result of attempts to connect to several addresses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PathCheck {
+    /// A connection was opened, or there was no address.
+    Reached,
+    /// All connections were refused.
+    Refused,
+    /// No connection was opened, and not all were refused.
+    Silent,
+}
+
+async fn connect_any(addresses: &[SocketAddr]) -> PathCheck {
     let mut connects = JoinSet::new();
     for address in addresses {
         connects.spawn(timeout(CHECK_TIMEOUT, TcpStream::connect(*address)));
     }
+    let mut refused = 0;
     while let Some(connected) = connects.join_next().await {
-        if matches!(connected, Ok(Ok(Ok(_)))) {
-            return true;
+        match connected {
+            Ok(Ok(Ok(_))) => return PathCheck::Reached,
+            Ok(Ok(Err(e))) if e.kind() == ErrorKind::ConnectionRefused => refused += 1,
+            _ => {}
         }
     }
-    addresses.is_empty()
+    match addresses.len() {
+        0 => PathCheck::Reached,
+        n if n == refused => PathCheck::Refused,
+        _ => PathCheck::Silent,
+    }
 }
