Exclude granted engines that are evacuated and shut down

The granted engines that are evacuated are now excluded by name, so each round leaves one engine less.

--- a/crates/oleanderpost-serving/src/engine_finder.rs
+++ b/crates/oleanderpost-serving/src/engine_finder.rs
@@ -110,9 +110,8 @@
                 lease_result.map_err(|retry_after_ms| self.log_refused(id, retry_after_ms))?;
             let grant = lease.grant().clone();
             self.log_placed(id, &grant);
-            if self.is_on_evacuated(&grant) {
+            if self.exclude_evacuated_of(&grant) {
                 self.log_evacuated(id, &grant);
-                self.exclude_evacuated();
                 lease.close(WorkEnd::Cancelled);
                 continue;
             }
@@ -175,8 +174,7 @@
                         request: = self.request.head.id, engine: = e.engine, cause = e.cause.as_str()
                     });
                     lease.close(WorkEnd::Cancelled);
-                    if self.is_on_evacuated(&grant) {
-                        self.exclude_evacuated();
+                    if self.exclude_evacuated_of(&grant) {
                         tried -= 1;
                         continue;
                     }
@@ -192,11 +190,23 @@
         Err(PlacementError::Refused(DEFAULT_RETRY_AFTER))
     }
 
-    /// Whether any of the granted engines is evacuated.
-    fn is_on_evacuated(&self, grant: &Grant) -> bool {
-        let directory = self.entry.state.directory();
-        let mut engines = grant.engines().filter_map(|id| directory.get(id));
-        engines.any(|engine| directory.is_evacuated(engine))
+    /// Excludes the granted engines that are evacuated, with all others; returns whether there are any.
+    ///
+    /// The granted ones are excluded by name, as they are not among the evacuated upstreams if they are also shutting
+    /// down: the scheduler would grant them again without end.
+    fn exclude_evacuated_of(&mut self, grant: &Grant) -> bool {
+        let ids: Vec<_> = {
+            let directory = self.entry.state.directory();
+            let engines = grant.engines().filter_map(|id| directory.get(id));
+            let evacuated = engines.filter(|engine| directory.is_evacuated(engine));
+            evacuated.map(|engine| engine.id.clone()).collect()
+        };
+        if ids.is_empty() {
+            return false;
+        }
+        self.excluded.extend(ids);
+        self.exclude_evacuated();
+        true
     }
 
     fn usable_upstreams(&self, ids: &[UpstreamId]) -> Vec<Arc<Upstream>> {
