Do not reuse connections whose last request may not have been read

The connection went back to the pool. Requests that took it waited until the rest of the long body was written, in UpstreamPool::acquire without any time limit, or behind the bytes that the kernel held.

A connection is no longer reused after the refusal of a request with more than 64 KiB. One that is not ready within 20 ms is closed, and the request gets another; this also covers other early answers.

--- a/crates/oleanderpost-serving/src/upstream_client.rs
+++ b/crates/oleanderpost-serving/src/upstream_client.rs
@@ -20,6 +20,8 @@
 
 /// Largest rest of an unused response that is read. A longer one costs more than another connection.
 const MAX_DISCARDED_BYTES: usize = 64 << 10;
+/// Largest body of a refused request after which the connection is used again.
+const MAX_UNREAD_BYTES: usize = 64 << 10;
 /// Step of attempts that failed because this node reaches no upstream; says nothing about the upstream.
 pub(crate) const NO_PATH_STEP: &str = "no path";
 /// Step of attempts that were answered with status 421. It says nothing about the expected process: another one may
@@ -229,7 +231,10 @@
         self.state.note_response(upstream, head, sent_at);
         if head.not_run {
             let (status, closes) = (response.parts.status, head.closes_connection);
-            self.discard(response);
+            // The next request would wait behind a long body that the upstream has not read.
+            if request.body.len() <= MAX_UNREAD_BYTES {
+                self.discard(response);
+            }
             let ran = if closes && status == StatusCode::SERVICE_UNAVAILABLE {
                 RunStatus::InstanceGone
             } else {
--- a/crates/oleanderpost-serving/src/upstream_pool.rs
+++ b/crates/oleanderpost-serving/src/upstream_pool.rs
@@ -24,6 +24,8 @@
 /// Time limit for the connection that shows whether an upstream accepts any. Callers wait for it; within a region a
 /// connection opens in a few milliseconds.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
+/// Time limit for an idle connection to become ready. It is ready at once unless the last request is still being written.
+const READY_TIMEOUT: Duration = Duration::from_millis(20);
 /// How long an idle connection is kept if the upstream states no keep-alive time.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Share of the keep-alive time stated by the upstream for which an idle connection is kept.
@@ -77,7 +79,9 @@
         while let Some(mut connection) = self.take_idle(upstream) {
             // Lets the connection's task process a close or data that has arrived since the last use.
             tokio::task::yield_now().await;
-            if connection.sender.ready().await.is_ok() {
+            // An upstream that has answered early may not have read the last request yet.
+            let ready = timeout(READY_TIMEOUT, connection.sender.ready()).await;
+            if matches!(ready, Ok(Ok(()))) {
                 connection.reused = true;
                 return Ok(connection);
             }
