--- a/crates/oleanderpost-serving/src/dispatch_status.rs
+++ b/crates/oleanderpost-serving/src/dispatch_status.rs
@@ -4,10 +4,10 @@
 
 use crate::RunStatus;
 
-/// Tells whether an upstream or a peer may have run a request, while attempts at it are in progress.
+/// Whether an upstream or a peer may have run a request, known while attempts at it are still in progress.
 #[derive(Debug, Default)]
 pub(crate) struct DispatchStatus {
-    /// Attempts that are not known to have left the request unrun.
+    /// Attempts after which the request may have run, or that are in progress.
     attempts: AtomicU32,
 }
 
--- a/crates/oleanderpost-serving/src/node_state.rs
+++ b/crates/oleanderpost-serving/src/node_state.rs
@@ -30,7 +30,7 @@
     drain: OnceLock<Drain>,
     /// Cancelled when a drain begins.
     drain_started: CancellationToken,
-    /// Cancelled when a drain ends, with requests unanswered or not.
+    /// Cancelled at the end of a drain that requests have outlasted.
     drain_ended: CancellationToken,
     /// Position of the store up to which changes have been applied, and what was removed before.
     history: Mutex<StoreHistory>,
@@ -567,7 +567,7 @@
         self.drain_started.cancel();
     }
 
-    /// Ends the drain: requests that have no response yet get one now.
+    /// Ends the drain: requests that have no response yet are rejected.
     pub(crate) fn end_drain(&self) {
         self.drain_ended.cancel();
     }
@@ -577,7 +577,7 @@
         self.drain_started.cancelled().await;
     }
 
-    /// Waits until a drain ends.
+    /// Waits until a drain has ended with requests unanswered.
     pub(crate) async fn drain_ended(&self) {
         self.drain_ended.cancelled().await;
     }
