Treat attempts after a rejection like first attempts

What callers saw: in a full fleet, an attempt whose prompt had been rejected a short time before waited twice as long and went ahead of all first attempts of its priority, whatever time either had left. The same request was refused to one caller and served to another by its history alone.

Cause: `RejectedRequests` remembered rejected prompts for a third of their deadline, and `QueuedWork::rank` sorted by it.

Evidence: attempts_after_a_rejection_are_treated_like_first_ones fails on the code before: of two equal requests the later one, a repeat, is served first (left 4, right 3), also with more time left than the other. It replaces request_that_returns_after_a_rejection_goes_ahead_of_new_ones, which asserted the preference; it is as strict, as it fixes the order of the same two requests, and adds that a repeat with less time left goes first.

Change: the memory of rejected prompts and the order by it are gone. The time that a request has left decides.

--- a/crates/oleanderpost-serving/src/lib.rs
+++ b/crates/oleanderpost-serving/src/lib.rs
@@ -86,7 +86,6 @@
 mod quarantine;
 mod queued_work;
 mod recent_maximum;
-mod rejected_requests;
 mod rejection;
 mod request_crash;
 mod request_crash_ledger;
--- a/crates/oleanderpost-serving/src/queued_work.rs
+++ b/crates/oleanderpost-serving/src/queued_work.rs
@@ -10,8 +10,6 @@
     pub(crate) node: VmId,
     pub(crate) work: Work,
     pub(crate) queued_at: f64,
-    /// Whether the request returns after a rejection.
-    pub(crate) returns: bool,
 }
 
 impl QueuedWork {
@@ -35,9 +33,9 @@
         now - self.queued_at + fastest_ms > self.work.objective_ms
     }
 
-    /// Sort key in the queue: requests that can still meet their objective first, then by priority, then those that
-    /// return after a rejection, then by the time left.
-    pub(crate) fn rank(&self, fastest_ms: f64, now: f64) -> (bool, u8, bool, f64) {
+    /// Sort key in the queue: requests that can still meet their objective first, then by priority, then by the time
+    /// left.
+    pub(crate) fn rank(&self, fastest_ms: f64, now: f64) -> (bool, u8, f64) {
         let elapsed = now - self.queued_at;
         let slack = self.work.objective_ms - elapsed - fastest_ms;
         let late = self.is_late(fastest_ms, now);
@@ -46,6 +44,6 @@
         } else {
             slack
         };
-        (late, self.work.priority, !self.returns, time_left)
+        (late, self.work.priority, time_left)
     }
 }
--- a/crates/oleanderpost-serving/src/scheduler.rs
+++ b/crates/oleanderpost-serving/src/scheduler.rs
@@ -9,10 +9,11 @@
     PartSpec, RequestRate, SlowEngine, UpstreamId, Work, WorkEnd, WorkId,
     planner::{PlanError, Planner},
     queued_work::QueuedWork,
-    rejected_requests::{HONOURED_WAIT_SHARE, RejectedRequests},
     unmet_needs::UnmetNeeds,
 };
 
+/// Share of the time that a caller has left for which it honours `Retry-After`, as the users' protocol states.
+const HONOURED_WAIT_SHARE: f64 = 1.0 / 3.0;
 /// Age after which a placement that its node no longer reports is dropped.
 const UNREPORTED_TIMEOUT_MS: f64 = 1_000.0;
 /// Wait reported to callers while no engine is available, in milliseconds: a usual engine restart takes
@@ -61,7 +62,6 @@
     queue: Vec<QueuedWork>,
     searches: u64,
     crash_ledger: CrashLedger,
-    rejected: RejectedRequests,
 }
 
 impl Scheduler {
@@ -74,7 +74,6 @@
             queue: Vec::new(),
             searches: 0,
             crash_ledger: CrashLedger::default(),
-            rejected: RejectedRequests::default(),
         }
     }
 
@@ -177,14 +176,13 @@
             };
         }
         let work = self.without_unreachable_patience(work);
-        let returns = self.rejected.take_return(now, &work);
         let heavy = self.planner.is_heavy(&work);
         let full_of_light = self.planner.is_full_of_light(now);
         if let Ok(grant) = self.try_place(now, node, &work) {
             return Decision::Run(grant);
         }
-        if !heavy && full_of_light && self.must_reject_light(now, &work, returns) {
-            return self.reject_for_long(now, &work);
+        if !heavy && full_of_light && self.must_reject_light(now, &work) {
+            return Self::reject_for_long(&work);
         }
         let wait = self.expected_wait_ms(now, &work);
         let need = self.planner.fastest_service_ms(&work);
@@ -198,13 +196,12 @@
             } else {
                 wait.max(need / 2.0)
             };
-            return self.reject(now, &work, retry_after_ms);
+            return Decision::Refuse { retry_after_ms };
         }
         self.queue.push(QueuedWork {
             node: node.clone(),
             work,
             queued_at: now,
-            returns,
         });
         Decision::Wait
     }
@@ -228,24 +225,17 @@
         }
     }
 
-    /// Rejects a request that is expected to be served after `wait_ms`.
-    fn reject(&mut self, now: f64, work: &Work, wait_ms: f64) -> Decision {
-        self.rejected.note_rejection(now, work);
-        Decision::Refuse {
-            retry_after_ms: wait_ms,
-        }
-    }
-
     /// Rejects a light request while light ones need all slots. How long that lasts is unknown, so the caller is asked to
     /// wait as long as callers do: those that return sooner are mostly rejected again.
-    fn reject_for_long(&mut self, now: f64, work: &Work) -> Decision {
-        self.reject(now, work, work.deadline_ms * HONOURED_WAIT_SHARE)
+    fn reject_for_long(work: &Work) -> Decision {
+        Decision::Refuse {
+            retry_after_ms: work.deadline_ms * HONOURED_WAIT_SHARE,
+        }
     }
 
     /// Whether a light request would wait too long while light requests need all slots.
-    fn must_reject_light(&self, now: f64, work: &Work, returns: bool) -> bool {
-        let factor = if returns { 2.0 } else { 1.0 };
-        let limit_ms = work.objective_ms * LIGHT_WAIT_SHARE * factor;
+    fn must_reject_light(&self, now: f64, work: &Work) -> bool {
+        let limit_ms = work.objective_ms * LIGHT_WAIT_SHARE;
         self.expected_slot_wait_ms(now, work) > limit_ms
     }
 
@@ -449,17 +439,17 @@
             let decision = match placed {
                 Ok(grant) => Decision::Run(grant),
                 Err(_) if !self.can_be_in_time(&work) => {
-                    let wait_ms = if self.can_be_in_time(&work.at_lasting_node()) {
+                    let retry_after_ms = if self.can_be_in_time(&work.at_lasting_node()) {
                         OTHER_NODE_WAIT_MS
                     } else {
                         self.expected_wait_ms(now, &work)
                     };
-                    self.reject(now, &work, wait_ms)
+                    Decision::Refuse { retry_after_ms }
                 }
                 Err(_)
                     if full_of_light && !heavy && waiting.has_waited_for(now, LIGHT_WAIT_SHARE) =>
                 {
-                    self.reject_for_long(now, &work)
+                    Self::reject_for_long(&work)
                 }
                 Err(_) if limits_wait > 0.0 && waiting.has_missed_limit_wait(now) => {
                     Decision::Refuse {
