Estimate the wait of short requests from the slots that become free

What callers saw: while short requests took 92% of the slots, a short request that would have had its first event in time was refused, on arrival or as soon as an eighth of its objective was over, and told to come back after a third of its deadline, whatever the wait was.

Cause: `LIGHT_WAIT_SHARE` (an eighth of the objective), `FULL_SHARE` and `reject_for_long` stood in for an estimate of the wait.

Change: the scheduler measures for how long requests hold their slots relative to the expected time (`HoldTimes`; memoryless until measured), and from it how many slots become free within the time that a request can wait (`FreedSlots`, with its standard deviation). The time to the first event counts the other requests of the engine. A short request waits if a slot in time is more likely than not, and once it waits, until a slot is out of reach of the standard deviation. A request that would be late waits only if the requests that arrive at the present rate leave it a slot. Others are refused at once, with the time at which the requests ahead, and the callers told to come back before, have got slots; an overload is expected to last as long again as it has lasted (`LightBacklog`).

Why this works: the limit follows from the objective, the deadline and the work ahead, so a slot that becomes free in time is waited for, and a queue that would make all late does not form.

Tests, failing before: short_request_waits_for_a_slot_that_is_expected_in_time (refused on arrival at 300 ms already), time_to_come_back_follows_the_backlog (3.3 s and 10 s), wait_is_estimated_from_measured_times, late_request_waits_if_no_other_needs_the_slot, short_requests_beyond_those_served_in_time_are_refused_at_once. The last one replaces short_requests_that_do_not_fit_are_refused_at_once_while_short_ones_take_all_slots, which asserted that none ever waits; the new one bounds the queue from both sides. In scheduling_many_waiting_requests_needs_few_searches, which counts searches, the requests get an objective as long as their deadline: 200 that arrive in a millisecond for 16 slots can't all meet 300 ms, and are now refused.

--- a/crates/oleanderpost-serving/src/engine_load.rs
+++ b/crates/oleanderpost-serving/src/engine_load.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     DataCentreName, EngineLimit, EngineProfile, RequestLimiter, SlowEngine, UpstreamId, Work,
-    WorkId, engine_slowdown::EngineSlowdown,
+    WorkId, engine_slowdown::EngineSlowdown, freed_slots::FreedSlots, hold_times::HoldTimes,
 };
 
 /// Safety factor on the estimated pass time when it is compared with the pauses that callers tolerate.
@@ -57,6 +57,8 @@
     pub slowdown: f64,
     /// Time of the first event.
     pub first_event_at: Option<f64>,
+    /// Expected time for which the part holds its slot.
+    pub hold_ms: f64,
 }
 
 /// What an engine does for a request that is placed on it.
@@ -373,6 +375,7 @@
             expected_ms: estimate.first_event_ms,
             slowdown: self.slowdown(now),
             first_event_at: None,
+            hold_ms: profile.shared_service_ms(work.prompt, work.answer) * self.slowdown(now),
         };
         if let Some(limiter) = &mut self.limiter {
             limiter.take(now);
@@ -466,6 +469,32 @@
         busy_ms.max(self.limit_wait_ms(now))
     }
 
+    /// Time for which a request has held its slot, as a multiple of the expected time.
+    pub(crate) fn hold_ratio(&self, id: WorkId, now: f64) -> Option<f64> {
+        let part = self.parts.get(&id)?;
+        Some((now - part.placed_at) / part.hold_ms.max(1.0))
+    }
+
+    /// Adds the slots that become free within `horizon_ms`, and those that are free if the prompts that are placed
+    /// already are prefilled by then.
+    pub(crate) fn add_freed_slots(
+        &self,
+        profile: &EngineProfile,
+        hold_times: &HoldTimes,
+        now: f64,
+        horizon_ms: f64,
+        freed: &mut FreedSlots,
+    ) {
+        if self.prefill_until - now <= horizon_ms {
+            freed.add_free((profile.slots as usize).saturating_sub(self.len()) as f64);
+        }
+        for part in self.parts.values() {
+            let hold_ms = part.hold_ms.max(1.0);
+            let elapsed = (now - part.placed_at) / hold_ms;
+            freed.add_slot(hold_times.freed_share(elapsed, horizon_ms / hold_ms));
+        }
+    }
+
     fn update_totals(&mut self) {
         self.totals = Totals::new(self.parts.values());
     }
--- a/crates/oleanderpost-serving/src/engine_profile.rs
+++ b/crates/oleanderpost-serving/src/engine_profile.rs
@@ -79,4 +79,26 @@
             + self.per_context_ms * context / 1e3;
         self.steps_per_pass * step
     }
+
+    /// Time to the first event of a request on an engine whose other slots are all taken by similar requests: half of the
+    /// pass in progress, then prefill beside one more pass.
+    #[must_use]
+    pub fn shared_first_event_ms(&self, prompt: f64, answer: f64) -> f64 {
+        let others = self.slots.saturating_sub(1) as usize;
+        let context = others as f64 * (prompt + answer / 2.0);
+        let pass_ms = self.decode_pass_ms(others, context);
+        pass_ms * 1.5 + self.prefill_ms(prompt) + self.decode_pass_ms(1, prompt)
+    }
+
+    /// Service time of a request on an engine whose slots are all taken by similar requests.
+    #[must_use]
+    pub fn shared_service_ms(&self, prompt: f64, answer: f64) -> f64 {
+        let passes = (answer / self.steps_per_pass).ceil();
+        let slots = f64::from(self.slots);
+        let context = slots * (prompt + answer / 2.0);
+        let prefills_per_pass = (slots / passes.max(1.0)).min(1.0);
+        let pass_ms = self.decode_pass_ms(self.slots as usize, context)
+            + self.prefill_ms(prompt) * prefills_per_pass;
+        passes * pass_ms
+    }
 }
--- a/crates/oleanderpost-serving/src/planner.rs
+++ b/crates/oleanderpost-serving/src/planner.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 
 use crate::{
-    DataCentreName, EngineLimit, EngineLoad, EngineProfile, Grant, UpstreamId, Work,
-    candidate::Candidate, fleet_slowdown::FleetSlowdown, group_search::GroupSearch,
-    light_demand::LightDemand,
+    DataCentreName, EngineLimit, EngineLoad, EngineProfile, Grant, UpstreamId, Work, WorkId,
+    candidate::Candidate, fleet_slowdown::FleetSlowdown, freed_slots::FreedSlots,
+    group_search::GroupSearch, hold_times::HoldTimes, light_demand::LightDemand,
 };
 
 /// Share of the remaining time to the objective that a plan may use.
@@ -20,9 +20,6 @@
 const LIGHT_RESERVE_FACTOR: f64 = 1.0;
 /// Slots that heavy requests leave free for light ones in addition to that multiple.
 const LIGHT_RESERVE_MIN: f64 = 4.0;
-/// Share of all slots from which light requests are taken to need all of them: the rest is lost between two requests
-/// and to heavy ones. With 0.85, the bursts of `tests/mixed_load.rs` count as overload.
-const FULL_SHARE: f64 = 0.92;
 /// Maximum number of engines that share the prefill of one prompt. The protocol allows 17.
 const MAX_GROUP_SIZE: usize = 16;
 
@@ -51,6 +48,8 @@
     /// Shortest pause that callers tolerate, and the time at which such a caller last arrived.
     shortest_pause: (f64, f64),
     light_demand: LightDemand,
+    /// Times for which requests hold slots of engines that serve light requests.
+    hold_times: HoldTimes,
 }
 
 impl Planner {
@@ -63,6 +62,7 @@
             evacuated: BTreeMap::new(),
             shortest_pause: (f64::INFINITY, 0.0),
             light_demand: LightDemand::default(),
+            hold_times: HoldTimes::new(),
         }
     }
 
@@ -223,15 +223,14 @@
             .min(work.time_limit_ms() - decode_ms)
     }
 
+    /// Time to the first event of a light request on an engine whose other slots are all taken by similar requests.
+    pub(crate) fn light_first_event_ms(&self, work: &Work) -> f64 {
+        self.profile.shared_first_event_ms(work.prompt, work.answer)
+    }
+
     /// Service time of a light request on an engine whose slots are all taken by similar requests.
     pub(crate) fn light_service_ms(&self, work: &Work) -> f64 {
-        let passes = (work.answer / self.profile.steps_per_pass).ceil();
-        let decoding = self.profile.slots as usize;
-        let context = decoding as f64 * (work.prompt + work.answer / 2.0);
-        let prefills_per_pass = (decoding as f64 / passes.max(1.0)).min(1.0);
-        let pass_ms = self.profile.decode_pass_ms(decoding, context)
-            + self.profile.prefill_ms(work.prompt) * prefills_per_pass;
-        passes * pass_ms
+        self.profile.shared_service_ms(work.prompt, work.answer)
     }
 
     /// Whether the prefill of the prompt would exceed the shortest pause that callers tolerate.
@@ -359,33 +358,78 @@
         })
     }
 
-    /// Number of slots on engines that are idle or serve light requests, at least those of one engine; `None` without
-    /// an available engine.
-    pub(crate) fn light_slots(&self, now: f64) -> Option<f64> {
-        let mut available = self
-            .engines
-            .values()
-            .filter(|load| !load.is_excluded(now))
-            .peekable();
-        available.peek()?;
-        let light = available.filter(|load| {
-            load.is_empty() || load.shortest_pause() <= self.shortest_pause.0 * 1.01
-        });
-        Some(light.count().max(1) as f64 * f64::from(self.profile.slots))
+    /// Records that a request ends on the engine, for the distribution of the times for which slots are held.
+    pub(crate) fn note_slot_freed(&mut self, now: f64, engine: &UpstreamId, id: WorkId) {
+        let Some(load) = self.engines.get(engine) else {
+            return;
+        };
+        if let Some(ratio) = load.hold_ratio(id, now).filter(|_| self.serves_light(load)) {
+            self.hold_times.note_ratio(ratio);
+        }
+    }
+
+    /// Whether an engine is idle or serves light requests, so that it can take more of them.
+    fn serves_light(&self, load: &EngineLoad) -> bool {
+        load.is_empty() || load.shortest_pause() <= self.shortest_pause.0 * 1.01
+    }
+
+    /// Whether any engine is available, with a free slot or without.
+    pub(crate) fn has_available_engine(&self, now: f64) -> bool {
+        self.engines.values().any(|load| !load.is_excluded(now))
     }
 
-    /// Whether light requests take nearly all slots of the available engines.
-    pub(crate) fn is_full_of_light(&self, now: f64) -> bool {
-        let shortest_pause = self.shortest_pause.0 * 1.01;
-        let (mut engines, mut taken) = (0_usize, 0_usize);
+    /// Number of slots that light requests can take within `horizon_ms`, each for as long as `work` takes.
+    pub(crate) fn freed_light_slots(&self, now: f64, horizon_ms: f64, work: &Work) -> FreedSlots {
+        let mut freed = FreedSlots::default();
+        if horizon_ms < 0.0 {
+            return freed;
+        }
+        let service_ms = self.light_service_ms(work).max(1.0);
+        let first_turn_ms = horizon_ms.min(service_ms);
+        let slots = f64::from(self.profile.slots);
         for load in self.engines.values().filter(|load| !load.is_excluded(now)) {
-            engines += 1;
-            if load.shortest_pause() <= shortest_pause {
-                taken += load.len();
+            let taken_from_ms = if self.serves_light(load) {
+                let times = &self.hold_times;
+                load.add_freed_slots(&self.profile, times, now, first_turn_ms, &mut freed);
+                first_turn_ms
+            } else {
+                let busy_ms = load.busy_ms(&self.profile, now);
+                if busy_ms > horizon_ms {
+                    continue;
+                }
+                freed.add_free(slots);
+                busy_ms
+            };
+            // Slots that are taken again become free again at the mean rate.
+            freed.add_free(slots * (horizon_ms - taken_from_ms) / service_ms);
+        }
+        freed
+    }
+
+    /// Expected time until light requests can take `count` slots, each for as long as `work` takes; infinite if no
+    /// engine serves light requests soon.
+    pub(crate) fn light_slots_wait_ms(&self, now: f64, count: f64, work: &Work) -> f64 {
+        let service_ms = self.light_service_ms(work);
+        let (mut from_ms, mut from) = (0.0, self.freed_light_slots(now, 0.0, work).mean());
+        if from >= count {
+            return 0.0;
+        }
+        for to_ms in [service_ms / 8.0, service_ms, 2.0 * service_ms] {
+            let to = self.freed_light_slots(now, to_ms, work).mean();
+            let rate_per_ms = (to - from) / (to_ms - from_ms);
+            let is_last = to_ms > service_ms;
+            if rate_per_ms > 0.0 && (to >= count || is_last) {
+                return from_ms + (count - from) / rate_per_ms;
             }
+            (from_ms, from) = (to_ms, to);
         }
-        let slots = engines as f64 * f64::from(self.profile.slots);
-        taken as f64 > slots * FULL_SHARE
+        f64::INFINITY
+    }
+
+    /// Number of slots that light requests similar to `work` will need within `horizon_ms`, if they go on to arrive at the
+    /// present rate.
+    pub(crate) fn light_demand_within(&self, now: f64, horizon_ms: f64, work: &Work) -> f64 {
+        self.light_demand.forecast(now) * horizon_ms / self.light_service_ms(work).max(1.0)
     }
 
     /// Number of idle engines that light requests can spare.
--- a/crates/oleanderpost-serving/src/queued_work.rs
+++ b/crates/oleanderpost-serving/src/queued_work.rs
@@ -23,11 +23,6 @@
         now - self.queued_at > self.work.max_limit_wait_ms()
     }
 
-    /// Whether the request has waited for `share` of its objective.
-    pub(crate) fn has_waited_for(&self, now: f64, share: f64) -> bool {
-        now - self.queued_at > self.work.objective_ms * share
-    }
-
     /// Whether the objective can't be met any more, even by a first event that comes `fastest_ms` from now.
     pub(crate) fn is_late(&self, fastest_ms: f64, now: f64) -> bool {
         now - self.queued_at + fastest_ms > self.work.objective_ms
@@ -36,14 +31,14 @@
     /// Sort key in the queue: requests that can still meet their objective first, then by priority, then by the time
     /// left.
     pub(crate) fn rank(&self, fastest_ms: f64, now: f64) -> (bool, u8, f64) {
-        let elapsed = now - self.queued_at;
-        let slack = self.work.objective_ms - elapsed - fastest_ms;
         let late = self.is_late(fastest_ms, now);
+        let limit_ms = self.work.first_event_limit_ms();
         let time_left = if late {
-            self.work.first_event_limit_ms() - elapsed
+            limit_ms
         } else {
-            slack
+            limit_ms.min(self.work.objective_ms)
         };
-        (late, self.work.priority, time_left)
+        let elapsed = now - self.queued_at;
+        (late, self.work.priority, time_left - elapsed - fastest_ms)
     }
 }
--- a/crates/oleanderpost-serving/src/scheduler.rs
+++ b/crates/oleanderpost-serving/src/scheduler.rs
@@ -7,29 +7,25 @@
 use crate::{
     CrashLedger, DataCentreName, Decision, EngineLimit, EngineLoad, EngineProfile, Grant, PartId,
     PartSpec, RequestRate, SlowEngine, UpstreamId, Work, WorkEnd, WorkId,
+    light_backlog::LightBacklog,
     planner::{PlanError, Planner},
     queued_work::QueuedWork,
     unmet_needs::UnmetNeeds,
 };
 
-/// Share of the time that a caller has left for which it honours `Retry-After`, as the users' protocol states.
-const HONOURED_WAIT_SHARE: f64 = 1.0 / 3.0;
 /// Age after which a placement that its node no longer reports is dropped.
 const UNREPORTED_TIMEOUT_MS: f64 = 1_000.0;
 /// Wait reported to callers while no engine is available, in milliseconds: a usual engine restart takes
 /// about a second.
 const NO_ENGINE_WAIT_MS: f64 = 1_000.0;
+
 /// Share of a request's remaining time that expected wait and service time together may take, and of the time left
-/// for the first event that expected wait and prefill may take; otherwise the request is refused.
+/// for the first event that expected wait and prefill may take; otherwise a heavy request is refused.
 const MAX_WAIT_SHARE: f64 = 0.9;
 
 /// Wait reported to callers whose request is refused only because its node stops: other nodes accept it at once.
 const OTHER_NODE_WAIT_MS: f64 = 0.0;
 
-/// Share of its objective for which a light request may wait while light requests need all slots. A rejection up to then
-/// costs the caller nothing.
-const LIGHT_WAIT_SHARE: f64 = 0.125;
-
 /// A request placed on one or more engines.
 #[derive(Clone, Debug)]
 struct PlacedWork {
@@ -62,6 +58,7 @@
     queue: Vec<QueuedWork>,
     searches: u64,
     crash_ledger: CrashLedger,
+    light_backlog: LightBacklog,
 }
 
 impl Scheduler {
@@ -74,6 +71,7 @@
             queue: Vec::new(),
             searches: 0,
             crash_ledger: CrashLedger::default(),
+            light_backlog: LightBacklog::default(),
         }
     }
 
@@ -176,36 +174,81 @@
             };
         }
         let work = self.without_unreachable_patience(work);
-        let heavy = self.planner.is_heavy(&work);
-        let full_of_light = self.planner.is_full_of_light(now);
         if let Ok(grant) = self.try_place(now, node, &work) {
             return Decision::Run(grant);
         }
-        if !heavy && full_of_light && self.must_reject_light(now, &work) {
-            return Self::reject_for_long(&work);
-        }
-        let wait = self.expected_wait_ms(now, &work);
-        let need = self.planner.fastest_service_ms(&work);
-        let limits_wait = self.planner.limits_wait_ms(now, self.queue.len());
-        let beyond_limits = limits_wait > work.max_limit_wait_ms();
-        if beyond_limits || self.is_too_late_after(wait, &work) {
-            let is_early_enough =
-                !beyond_limits && !self.is_too_late_after(wait, &work.at_lasting_node());
-            let retry_after_ms = if is_early_enough {
-                OTHER_NODE_WAIT_MS
-            } else {
-                wait.max(need / 2.0)
-            };
-            return Decision::Refuse { retry_after_ms };
-        }
-        self.queue.push(QueuedWork {
+        let waiting = QueuedWork {
             node: node.clone(),
             work,
             queued_at: now,
-        });
+        };
+        let limits_wait = self.planner.limits_wait_ms(now, self.queue.len());
+        if limits_wait > waiting.work.max_limit_wait_ms() {
+            return Decision::Refuse {
+                retry_after_ms: limits_wait,
+            };
+        }
+        let ahead = self.light_ahead_of(now, &waiting);
+        if !self.may_wait(now, &waiting, ahead) {
+            return self.reject(now, &waiting, ahead);
+        }
+        self.queue.push(waiting);
         Decision::Wait
     }
 
+    /// Number of light requests in the queue that are served before this one.
+    fn light_ahead_of(&self, now: f64, waiting: &QueuedWork) -> usize {
+        let rank = |queued: &QueuedWork| {
+            let fastest_ms = self.planner.fastest_first_event_ms(&queued.work);
+            queued.rank(fastest_ms, now)
+        };
+        let own_rank = rank(waiting);
+        let light = self
+            .queue
+            .iter()
+            .filter(|queued| !self.planner.is_heavy(&queued.work));
+        light.filter(|queued| rank(queued) <= own_rank).count()
+    }
+
+    /// Whether a request that can't be placed now may wait behind `ahead` light ones.
+    ///
+    /// Light requests may if they are expected to get a slot in time for their objective, or late if requests that
+    /// arrive meanwhile leave slots over. Others would take slots from requests that can still be in time.
+    fn may_wait(&self, now: f64, waiting: &QueuedWork, ahead: usize) -> bool {
+        let work = waiting.work_at(now);
+        if !self.can_be_in_time(&work) {
+            return false;
+        }
+        let has_waited = waiting.queued_at < now;
+        if self.planner.is_heavy(&work) || !self.planner.has_available_engine(now) {
+            return has_waited || !self.is_too_late_after(self.expected_engine_wait_ms(now), &work);
+        }
+        let needed = (ahead + 1) as f64;
+        let first_event_ms = self.planner.fastest_first_event_ms(&work);
+        let limit_ms = self.planner.first_event_limit_ms(&work);
+        let shared_ms = self.planner.light_first_event_ms(&work);
+        let in_time_ms = limit_ms.min(work.objective_ms) - shared_ms;
+        let freed = self.planner.freed_light_slots(now, in_time_ms, &work);
+        // A request that waits already stays as long as the error of the estimate allows.
+        let in_time = if has_waited {
+            freed.are_possible(needed)
+        } else {
+            freed.are_likely(needed)
+        };
+        if in_time {
+            return true;
+        }
+        let late_ms = limit_ms - first_event_ms;
+        let freed = self.planner.freed_light_slots(now, late_ms, &work);
+        let demand = if waiting.work.objective_ms < first_event_ms {
+            // It was late when it arrived, and is as urgent as any other.
+            0.0
+        } else {
+            self.planner.light_demand_within(now, late_ms, &work)
+        };
+        freed.are_likely(needed + demand)
+    }
+
     /// Whether the request is refused if it has to wait for `wait_ms`, as it would probably be late.
     fn is_too_late_after(&self, wait_ms: f64, work: &Work) -> bool {
         let need = self.planner.fastest_service_ms(work);
@@ -225,18 +268,42 @@
         }
     }
 
-    /// Rejects a light request while light ones need all slots. How long that lasts is unknown, so the caller is asked to
-    /// wait as long as callers do: those that return sooner are mostly rejected again.
-    fn reject_for_long(work: &Work) -> Decision {
-        Decision::Refuse {
-            retry_after_ms: work.deadline_ms * HONOURED_WAIT_SHARE,
-        }
+    /// Rejects a request that would have to wait behind `ahead` light ones, with the time at which it makes sense to come
+    /// back.
+    fn reject(&mut self, now: f64, waiting: &QueuedWork, ahead: usize) -> Decision {
+        let elsewhere = QueuedWork {
+            work: waiting.work.at_lasting_node(),
+            ..waiting.clone()
+        };
+        let work = elsewhere.work_at(now);
+        let retry_after_ms = if self.may_wait(now, &elsewhere, ahead) {
+            OTHER_NODE_WAIT_MS
+        } else if !self.can_be_in_time(&work) {
+            // Not even idle engines serve it within its time.
+            self.planner.fastest_service_ms(&work)
+        } else if self.planner.is_heavy(&work) {
+            self.expected_engine_wait_ms(now)
+        } else {
+            self.note_light_return(now, &work, ahead)
+        };
+        Decision::Refuse { retry_after_ms }
     }
 
-    /// Whether a light request would wait too long while light requests need all slots.
-    fn must_reject_light(&self, now: f64, work: &Work) -> bool {
-        let limit_ms = work.objective_ms * LIGHT_WAIT_SHARE;
-        self.expected_slot_wait_ms(now, work) > limit_ms
+    /// Time after which a light request can be expected to be served: when those ahead of it and the callers that were told
+    /// to come back have got slots, and the overload has ended. The caller is expected back then.
+    fn note_light_return(&mut self, now: f64, work: &Work, ahead: usize) -> f64 {
+        let service_ms = self.planner.light_service_ms(work);
+        let lasted_ms = self.light_backlog.note_rejection(now, service_ms);
+        let backlog = ahead + self.light_backlog.returns(now) + 1;
+        let wait_ms = self.planner.light_slots_wait_ms(now, backlog as f64, work);
+        let limits_ms = self.planner.limits_wait_ms(now, self.queue.len());
+        let wait_ms = if wait_ms.is_finite() {
+            wait_ms.max(lasted_ms)
+        } else {
+            NO_ENGINE_WAIT_MS
+        };
+        self.light_backlog.note_return(now + wait_ms);
+        wait_ms.max(limits_ms)
     }
 
     /// Prompts that crash engines, and are refused for that reason.
@@ -288,6 +355,9 @@
             readers,
             ..
         } = &placed_work;
+        if matches!(end, WorkEnd::Finished | WorkEnd::Cancelled) {
+            self.planner.note_slot_freed(now, engine, id);
+        }
         for engine in holders.iter().chain(readers).chain([engine]) {
             if let Some(load) = self.planner.load_mut(engine) {
                 load.remove(id, now);
@@ -411,10 +481,10 @@
             let work = &waiting.work;
             (self.planner.is_heavy(work), work)
         });
-        let full_of_light = self.planner.is_full_of_light(now);
         let mut unmet = UnmetNeeds::new(classified);
         let limits_wait = self.planner.limits_wait_ms(now, 0);
         let mut heavy_waits = false;
+        let mut light_waiting = 0;
         for waiting in queue {
             let work = waiting.work_at(now);
             if let Some(retry_after_ms) = self.crash_ledger.quarantine_left(now, &work.parts) {
@@ -438,18 +508,8 @@
             };
             let decision = match placed {
                 Ok(grant) => Decision::Run(grant),
-                Err(_) if !self.can_be_in_time(&work) => {
-                    let retry_after_ms = if self.can_be_in_time(&work.at_lasting_node()) {
-                        OTHER_NODE_WAIT_MS
-                    } else {
-                        self.expected_wait_ms(now, &work)
-                    };
-                    Decision::Refuse { retry_after_ms }
-                }
-                Err(_)
-                    if full_of_light && !heavy && waiting.has_waited_for(now, LIGHT_WAIT_SHARE) =>
-                {
-                    Self::reject_for_long(&work)
+                Err(_) if !self.may_wait(now, &waiting, light_waiting) => {
+                    self.reject(now, &waiting, light_waiting)
                 }
                 Err(_) if limits_wait > 0.0 && waiting.has_missed_limit_wait(now) => {
                     Decision::Refuse {
@@ -458,6 +518,7 @@
                 }
                 Err(reason) => {
                     heavy_waits |= heavy;
+                    light_waiting += usize::from(!heavy);
                     if reason == PlanError::NoCapacity && !yields {
                         self.note_no_capacity(now, &work, &mut unmet);
                     }
@@ -506,27 +567,6 @@
             && self.planner.fastest_service_ms(work) <= work.time_limit_ms()
     }
 
-    /// Expected wait of a request at the end of the queue.
-    fn expected_wait_ms(&self, now: f64, work: &Work) -> f64 {
-        if self.planner.is_heavy(work) {
-            self.expected_engine_wait_ms(now)
-        } else {
-            self.expected_slot_wait_ms(now, work)
-        }
-    }
-
-    /// Expected wait for a slot of an engine that serves light requests, after the light requests in the queue.
-    fn expected_slot_wait_ms(&self, now: f64, work: &Work) -> f64 {
-        let Some(slots) = self.planner.light_slots(now) else {
-            return NO_ENGINE_WAIT_MS;
-        };
-        let light = |waiting: &&QueuedWork| !self.planner.is_heavy(&waiting.work);
-        let ahead = self.queue.iter().filter(light).count();
-        let slot_ms = self.planner.light_service_ms(work) / slots;
-        let limits_ms = self.planner.limits_wait_ms(now, self.queue.len());
-        (slot_ms * (ahead + 1) as f64).max(limits_ms)
-    }
-
     /// Expected wait for an engine: the time until the first engine is free plus the service time of the requests
     /// ahead.
     fn expected_engine_wait_ms(&self, now: f64) -> f64 {
