Refuse long requests by the expected wait itself

What callers saw: a long request that could not be placed was refused if the expected wait and service took more than nine tenths of the time that its caller had, also if the caller would have got the answer in time by the same estimate.

Cause: `MAX_WAIT_SHARE`, a share of the deadline and of the patience that no caller knows.

Change: the wait and the service time are compared with the time left. The estimate is not a sharp one, but the request can still be refused as soon as idle engines could not serve it in time.

--- a/crates/oleanderpost-serving/src/scheduler.rs
+++ b/crates/oleanderpost-serving/src/scheduler.rs
@@ -19,10 +19,6 @@
 /// about a second.
 const NO_ENGINE_WAIT_MS: f64 = 1_000.0;
 
-/// Share of a request's remaining time that expected wait and service time together may take, and of the time left
-/// for the first event that expected wait and prefill may take; otherwise a heavy request is refused.
-const MAX_WAIT_SHARE: f64 = 0.9;
-
 /// Wait reported to callers whose request is refused only because its node stops: other nodes accept it at once.
 const OTHER_NODE_WAIT_MS: f64 = 0.0;
 
@@ -253,8 +249,8 @@
     fn is_too_late_after(&self, wait_ms: f64, work: &Work) -> bool {
         let need = self.planner.fastest_service_ms(work);
         let first_event_ms = self.planner.fastest_first_event_ms(work);
-        wait_ms + need > work.time_limit_ms() * MAX_WAIT_SHARE
-            || wait_ms + first_event_ms > work.first_event_limit_ms() * MAX_WAIT_SHARE
+        wait_ms + need > work.time_limit_ms()
+            || wait_ms + first_event_ms > work.first_event_limit_ms()
     }
 
     /// Drops the patience of a request whose first event takes longer even on idle engines: its caller expects that, or
