Take the margin of the first event from its measured error

What callers saw: an engine that would have sent the first event in the last twelfth of the objective was not used; a short request waited for another one and was late or refused.

Cause: `ON_TIME_SHARE`, a fixed 0.92 of the objective, whatever the error of the estimate.

Change: `FirstEventError` measures the mean share by which first events come later than expected, on all engines of a service; plans must meet the objective with it.

Test: short_request_waits_for_a_slot_that_is_expected_in_time now has an objective of 250 ms too, which failed before: the slot that became free after 75 ms was not used.

--- a/crates/oleanderpost-serving/src/group_search.rs
+++ b/crates/oleanderpost-serving/src/group_search.rs
@@ -2,10 +2,7 @@
 
 use std::cmp::Ordering;
 
-use crate::{
-    EngineLoad, EngineProfile, Grant, UpstreamId, Work, candidate::Candidate,
-    planner::ON_TIME_SHARE,
-};
+use crate::{EngineLoad, EngineProfile, Grant, UpstreamId, Work, candidate::Candidate};
 
 /// A larger group is preferred only if its time to the first event is below that of the best smaller group
 /// multiplied by this factor.
@@ -29,6 +26,8 @@
     holders: usize,
     /// Number of idle engines that may take part.
     max_idle: usize,
+    /// Longest expected time to the first event that meets the objective, in milliseconds.
+    on_time_ms: f64,
 }
 
 impl<'a> GroupSearch<'a> {
@@ -46,6 +45,7 @@
             engines: engines.collect(),
             holders,
             max_idle: usize::MAX,
+            on_time_ms: work.objective_ms,
         }
     }
 
@@ -54,10 +54,15 @@
         Self { max_idle, ..self }
     }
 
+    /// Sets the longest expected time to the first event that meets the objective.
+    pub(crate) fn with_on_time(self, on_time_ms: f64) -> Self {
+        Self { on_time_ms, ..self }
+    }
+
     /// Finds the smallest group that meets the objective; if no group of up to `max_size` engines can, one that
     /// is not much slower than the largest.
     pub(crate) fn find(&self, min_size: usize, max_size: usize) -> Option<Grant> {
-        let on_time = self.work.objective_ms * ON_TIME_SHARE;
+        let on_time = self.on_time_ms;
         let decode_ms = self.profile.decode_pass_ms(1, self.work.prompt);
         let prefill_ms = self.profile.prefill_ms(self.work.prompt);
         let reachable = prefill_ms / max_size as f64 + decode_ms <= on_time;
--- a/crates/oleanderpost-serving/src/lib.rs
+++ b/crates/oleanderpost-serving/src/lib.rs
@@ -59,6 +59,7 @@
 mod event_reader;
 mod event_splitter;
 mod evidence;
+mod first_event_error;
 mod fleet_share;
 mod fleet_slowdown;
 mod freed_slots;
--- a/crates/oleanderpost-serving/src/planner.rs
+++ b/crates/oleanderpost-serving/src/planner.rs
@@ -4,12 +4,11 @@
 
 use crate::{
     DataCentreName, EngineLimit, EngineLoad, EngineProfile, Grant, UpstreamId, Work, WorkId,
-    candidate::Candidate, fleet_slowdown::FleetSlowdown, freed_slots::FreedSlots,
-    group_search::GroupSearch, hold_times::HoldTimes, light_demand::LightDemand,
+    candidate::Candidate, first_event_error::FirstEventError, fleet_slowdown::FleetSlowdown,
+    freed_slots::FreedSlots, group_search::GroupSearch, hold_times::HoldTimes,
+    light_demand::LightDemand,
 };
 
-/// Share of the remaining time to the objective that a plan may use.
-pub(crate) const ON_TIME_SHARE: f64 = 0.92;
 /// Time after which the shortest tolerated pause expires if no caller with such a pause arrives.
 const SHORTEST_PAUSE_TTL_MS: f64 = 5_000.0;
 /// Safety factor on the pass time of a prompt, which must stay below the shortest tolerated pause for the
@@ -42,6 +41,7 @@
     /// The configured profile adjusted to the measured speed of the engines.
     pub(crate) profile: EngineProfile,
     slowdown: FleetSlowdown,
+    first_event_error: FirstEventError,
     pub(crate) engines: BTreeMap<UpstreamId, EngineLoad>,
     /// Engines in evacuated data centres. Requests may still run there, so that the load is known when they return.
     pub(crate) evacuated: BTreeMap<UpstreamId, EngineLoad>,
@@ -58,6 +58,7 @@
             configured_profile: profile.clone(),
             profile,
             slowdown: FleetSlowdown::new(),
+            first_event_error: FirstEventError::default(),
             engines: BTreeMap::new(),
             evacuated: BTreeMap::new(),
             shortest_pause: (f64::INFINITY, 0.0),
@@ -74,6 +75,7 @@
 
     /// Records a first event that took `ratio` times the expected time, and adjusts the profile.
     pub(crate) fn note_slowdown(&mut self, now: f64, ratio: f64) {
+        self.first_event_error.note_ratio(ratio);
         let before = self.slowdown.factor();
         self.slowdown.note_ratio(now, ratio * before);
         let factor = self.slowdown.factor();
@@ -243,7 +245,7 @@
     /// Selects the best engine for a request that fits into one engine's memory, or a group that shares the
     /// prefill.
     fn plan_single(&self, now: f64, work: &Work) -> Result<Grant, PlanError> {
-        let on_time = work.objective_ms * ON_TIME_SHARE;
+        let on_time = self.on_time_ms(work);
         let heavy = self.is_heavy(work);
         let free = if heavy {
             self.free_engines(now, work)
@@ -285,6 +287,12 @@
         late_group.flatten().ok_or(PlanError::NotInTime)
     }
 
+    /// Longest expected time to the first event that meets the objective, by the measured error of such estimates.
+    fn on_time_ms(&self, work: &Work) -> f64 {
+        self.first_event_error
+            .longest_estimate_ms(work.objective_ms)
+    }
+
     /// Number of idle engines that a heavy request may use: those that light requests can spare.
     fn free_engines(&self, now: f64, work: &Work) -> usize {
         let idle = self
@@ -323,7 +331,9 @@
 
     fn group_search<'a>(&'a self, now: f64, work: &'a Work) -> GroupSearch<'a> {
         let engines = self.usable_engines(now, work);
-        GroupSearch::new(&self.profile, now, work, engines, self.min_group_size(work))
+        let holders = self.min_group_size(work);
+        GroupSearch::new(&self.profile, now, work, engines, holders)
+            .with_on_time(self.on_time_ms(work))
     }
 
     fn candidates<'a>(&'a self, now: f64, work: &'a Work) -> Vec<Candidate<'a>> {
--- a/crates/oleanderpost-serving/tests/scheduler.rs
+++ b/crates/oleanderpost-serving/tests/scheduler.rs
@@ -253,7 +253,7 @@
 /// Guards against refusals at a share of the objective: callers whose first event would have come in time got no answer.
 #[test]
 fn short_request_waits_for_a_slot_that_is_expected_in_time() {
-    for objective_ms in [300.0, 400.0, 600.0, 900.0, 1_500.0, 3_000.0, 6_000.0] {
+    for objective_ms in [250.0, 300.0, 400.0, 600.0, 900.0, 1_500.0, 3_000.0, 6_000.0] {
         let mut scheduler = full_engine();
         let waiting = request_with_objective(100, objective_ms);
         let decision = scheduler.submit(FULL_AT_MS, &node(), waiting);
