End attempts at plain upstreams by the measured service time

What callers saw: a repeatable request to a plain service was given up and sent to another upstream once it had taken twice the route's objective, though the upstream was sound and had always taken that long; with a tight objective an upstream in a burst got each request twice.

Cause: the timeout of an attempt that others may follow was a multiple of the objective, which says nothing of when a response is lost.

Change: the balancer keeps the mean deviation of the service time beside its mean. An attempt ends four deviations above the mean, as the retransmission timeout of RFC 6298; without measurements at half of the time that is left. Half of it is the bound in any case, so that the next attempt has as much time.

Test: response_is_taken_to_be_lost_by_the_measured_service_time (the earlier code has no such estimate to test).

--- a/crates/oleanderpost-serving/src/buffered_proxy.rs
+++ b/crates/oleanderpost-serving/src/buffered_proxy.rs
@@ -18,10 +18,8 @@
     upstream_response::caller_response,
 };
 
-/// Shortest timeout of an attempt that others may follow.
+/// Shortest timeout of an attempt that others may follow: a busy node or network delays any response for as long.
 const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(150);
-/// Timeout of an attempt that others may follow, as a multiple of the route's latency objective.
-const ATTEMPT_OBJECTIVE_FACTOR: u32 = 2;
 /// Delay after which a caller should retry a request that upstreams have refused.
 const FAILED_RETRY_AFTER: Duration = Duration::from_millis(150);
 
@@ -113,7 +111,7 @@
             helpers: Vec::new(),
             last_event_id: request.head.last_event_id,
         };
-        let time_limit = self.attempt_timeout();
+        let time_limit = self.attempt_timeout(&upstream.id);
         let response = self
             .entry
             .client
@@ -135,8 +133,9 @@
         Ok(BufferedResponse { parts, body })
     }
 
-    /// Timeout of the current attempt: all the time that is left if no other attempt may follow.
-    fn attempt_timeout(&self) -> Duration {
+    /// Timeout of the current attempt: all the time that is left if no other attempt may follow. Otherwise the attempt ends
+    /// when its response is probably lost, and leaves as much time to another one as it takes.
+    fn attempt_timeout(&self, upstream: &UpstreamId) -> Duration {
         let time_left = self.entry.time_left(self.request);
         let route = &self.request.route;
         let is_last =
@@ -144,7 +143,9 @@
         if is_last {
             return time_left;
         }
-        let attempt_time = (route.objective * ATTEMPT_OBJECTIVE_FACTOR).max(MIN_ATTEMPT_TIMEOUT);
+        let loss_timeout = self.entry.balancer.loss_timeout(upstream);
+        let attempt_time =
+            loss_timeout.map_or(time_left, |timeout| timeout.max(MIN_ATTEMPT_TIMEOUT));
         attempt_time.min(time_left / 2)
     }
 
--- a/crates/oleanderpost-serving/src/plain_balancer.rs
+++ b/crates/oleanderpost-serving/src/plain_balancer.rs
@@ -15,8 +15,11 @@
 const MAX_LOAD_AGE: Duration = Duration::from_millis(400);
 /// Weight of a new outcome in the smoothed failure rate.
 const FAILURE_WEIGHT: f64 = 0.15;
-/// Weight of a new measurement in the smoothed service time.
+/// Weight of a new measurement in the smoothed service time and its deviation.
 const TIME_WEIGHT: f64 = 0.2;
+/// Number of mean deviations above the mean service time beyond which a response is taken to be lost, as in the
+/// retransmission timeout of RFC 6298.
+const LOST_DEVIATIONS: f64 = 4.0;
 /// Exclusion time after a failed connection or an upstream that did not reply; doubled with consecutive
 /// failures.
 const EXCLUSION: Duration = Duration::from_millis(800);
@@ -32,6 +35,8 @@
     in_progress: u32,
     failure_rate: f64,
     service_ms: f64,
+    /// Mean deviation of the service time.
+    deviation_ms: f64,
     consecutive_errors: u32,
     excluded_until: BootTime,
     /// Time before which the upstream's limit allows no request.
@@ -137,12 +142,29 @@
         entry.consecutive_errors = 0;
         entry.on_probation = false;
         entry.failure_rate += FAILURE_WEIGHT * (f64::from(u8::from(failed)) - entry.failure_rate);
-        entry.service_ms += TIME_WEIGHT * (took.as_secs_f64() * 1e3 - entry.service_ms);
+        entry.note_service_time(took.as_secs_f64() * 1e3);
         if let Some(load) = load {
             entry.reported = Some((load, now));
         }
     }
 
+    /// Mean time to a complete response; zero if none is known.
+    #[must_use]
+    pub fn service_time(&self, id: &UpstreamId) -> Duration {
+        let service_ms = self.lock().get(id).map_or(0.0, |entry| entry.service_ms);
+        Duration::from_secs_f64(service_ms / 1e3)
+    }
+
+    /// Time after which a response is taken to be lost, from the service time and its deviation; `None` if no response is
+    /// known.
+    #[must_use]
+    pub fn loss_timeout(&self, id: &UpstreamId) -> Option<Duration> {
+        let stats = self.lock();
+        let entry = stats.get(id).filter(|entry| entry.service_ms > 0.0)?;
+        let timeout_ms = entry.service_ms + LOST_DEVIATIONS * entry.deviation_ms;
+        Some(Duration::from_secs_f64(timeout_ms / 1e3))
+    }
+
     /// Records an attempt that got no usable response.
     pub fn note_error(&self, e: &AttemptError, now: BootTime) {
         let mut stats = self.lock();
@@ -174,6 +196,16 @@
         self.excluded_until <= now && self.permit_at <= now && !is_probed
     }
 
+    fn note_service_time(&mut self, took_ms: f64) {
+        if self.service_ms == 0.0 {
+            (self.service_ms, self.deviation_ms) = (took_ms, took_ms / 2.0);
+            return;
+        }
+        let error_ms = took_ms - self.service_ms;
+        self.deviation_ms += TIME_WEIGHT * (error_ms.abs() - self.deviation_ms);
+        self.service_ms += TIME_WEIGHT * error_ms;
+    }
+
     fn cost(&self, now: BootTime) -> f64 {
         let reported = self
             .reported
--- a/crates/oleanderpost-serving/tests/plain_balancer.rs
+++ b/crates/oleanderpost-serving/tests/plain_balancer.rs
@@ -58,3 +58,26 @@
     balancer.note_response(&a, false, Duration::from_millis(10), None, now);
     assert_eq!(choose(&balancer, &[], now), a);
 }
+
+/// Guards against attempts that are ended at a multiple of the objective: all responses of an upstream that is slower than
+/// that were given up and asked for again.
+#[test]
+fn response_is_taken_to_be_lost_by_the_measured_service_time() {
+    let (a, b) = (UpstreamId::new("a"), UpstreamId::new("b"));
+    let balancer = PlainBalancer::default();
+    let now = BootTime::now();
+    assert_eq!(balancer.loss_timeout(&a), None);
+    for n in 0..100 {
+        let steady = Duration::from_millis(600);
+        let varying = Duration::from_millis(if n % 2 == 0 { 100 } else { 300 });
+        balancer.note_response(&a, false, steady, None, now);
+        balancer.note_response(&b, false, varying, None, now);
+    }
+    let timeout = balancer.loss_timeout(&a).unwrap();
+    let expected = Duration::from_millis(600)..Duration::from_millis(700);
+    assert!(expected.contains(&timeout), "{timeout:?}");
+    // The longest responses of an upstream with varying times are not lost.
+    let timeout = balancer.loss_timeout(&b).unwrap();
+    let expected = Duration::from_millis(400)..Duration::from_millis(1_000);
+    assert!(expected.contains(&timeout), "{timeout:?}");
+}
