Wait for pauses and limits of upstreams as long as the objective allows

What callers saw: a request to an upstream that wants a pause, or whose limit allows the next request later, was refused if the known wait was over half of the objective, though its answer would have come in time.

The wait for limits of engines went to the end of the objective, with no time for the first event.

Change: a request waits if the wait and the time that its answer then takes (measured for plain services, estimated for engines) end within its objective; otherwise it is told the time at once. Later places belong to requests that can be in time.

--- a/crates/oleanderpost-serving/src/engine_finder.rs
+++ b/crates/oleanderpost-serving/src/engine_finder.rs
@@ -93,8 +93,11 @@
             {
                 break;
             }
-            self.wait_for_pauses().await?;
             let work = self.build_work(profile.usual_prompt, profile.usual_answer);
+            let first_event_ms = profile.shared_first_event_ms(work.prompt, work.answer);
+            if self.wait_for_pauses(first_event_ms).await? {
+                continue;
+            }
             let id = work.id;
             let is_draining = work.node_stops_ms.is_some();
             let lease_future = self.entry.scheduler.place(&self.request.service, work);
@@ -216,25 +219,28 @@
             .collect()
     }
 
-    /// If all engines want a pause from this node, waits for the end of the first pause.
+    /// If all engines want a pause from this node, waits for the end of the first pause, and returns whether it has. The
+    /// first event then takes `first_event_ms`.
     ///
     /// # Errors
     ///
     /// [`PlacementError::Refused`] if the request would be late then.
-    async fn wait_for_pauses(&self) -> Result<(), PlacementError> {
+    async fn wait_for_pauses(&self, first_event_ms: f64) -> Result<bool, PlacementError> {
         let state = &self.entry.state;
         let pauses = state.pauses(&self.request.service);
         let Some(first_end) = pauses.iter().map(|(_, left)| *left).min() else {
-            return Ok(());
+            return Ok(false);
         };
         if pauses.len() < state.usable_upstreams(&self.request.service).len() {
-            return Ok(());
+            return Ok(false);
         }
-        if first_end > max_wait(&self.entry, &self.request) {
+        let service_time = Duration::try_from_secs_f64(first_event_ms / 1e3);
+        let service_time = service_time.unwrap_or(Duration::MAX);
+        if first_end > max_wait(&self.entry, &self.request, service_time) {
             return Err(PlacementError::Refused(spread_return(first_end)));
         }
         sleep(first_end).await;
-        Ok(())
+        Ok(true)
     }
 
     /// Cold engines of the service of which this node's own share allows no request now.
--- a/crates/oleanderpost-serving/src/plain_selector.rs
+++ b/crates/oleanderpost-serving/src/plain_selector.rs
@@ -49,7 +49,8 @@
         let Some((wait, upstream)) = next_permit else {
             return Err(NO_UPSTREAM_RETRY_AFTER);
         };
-        let max_wait = max_wait(self.entry, self.request);
+        let service_time = self.entry.balancer.service_time(&upstream.id);
+        let max_wait = max_wait(self.entry, self.request, service_time);
         if wait > max_wait {
             self.log_limited("request not sent: limit of the upstream", &upstream, wait);
             return Err(spread_return(wait));
--- a/crates/oleanderpost-serving/src/queued_work.rs
+++ b/crates/oleanderpost-serving/src/queued_work.rs
@@ -18,9 +18,9 @@
         self.work.after(now - self.queued_at)
     }
 
-    /// Whether the request has waited in vain for the limits of the engines.
-    pub(crate) fn has_missed_limit_wait(&self, now: f64) -> bool {
-        now - self.queued_at > self.work.max_limit_wait_ms()
+    /// Whether the request has waited in vain for the limits of the engines, if its first event takes `first_event_ms`.
+    pub(crate) fn has_missed_limit_wait(&self, first_event_ms: f64, now: f64) -> bool {
+        now - self.queued_at > self.work.max_limit_wait_ms(first_event_ms)
     }
 
     /// Whether the objective can't be met any more, even by a first event that comes `fastest_ms` from now.
--- a/crates/oleanderpost-serving/src/scheduler.rs
+++ b/crates/oleanderpost-serving/src/scheduler.rs
@@ -179,7 +179,8 @@
             queued_at: now,
         };
         let limits_wait = self.planner.limits_wait_ms(now, self.queue.len());
-        if limits_wait > waiting.work.max_limit_wait_ms() {
+        let first_event_ms = self.planner.fastest_first_event_ms(&waiting.work);
+        if limits_wait > waiting.work.max_limit_wait_ms(first_event_ms) {
             return Decision::Refuse {
                 retry_after_ms: limits_wait,
             };
@@ -507,7 +508,7 @@
                 Err(_) if !self.may_wait(now, &waiting, light_waiting) => {
                     self.reject(now, &waiting, light_waiting)
                 }
-                Err(_) if limits_wait > 0.0 && waiting.has_missed_limit_wait(now) => {
+                Err(_) if limits_wait > 0.0 && waiting.has_missed_limit_wait(fastest_ms, now) => {
                     Decision::Refuse {
                         retry_after_ms: limits_wait,
                     }
--- a/crates/oleanderpost-serving/src/work.rs
+++ b/crates/oleanderpost-serving/src/work.rs
@@ -92,9 +92,10 @@
         }
     }
 
-    /// Longest wait for the limits of engines, in milliseconds. The wait is known, so a request that would be late is
-    /// rejected with a time to come back; a stream that is resumed may wait for one pause.
-    pub(crate) fn max_limit_wait_ms(&self) -> f64 {
-        self.objective_ms.max(self.pause_ms)
+    /// Longest wait for the limits of engines, in milliseconds, if the first event then takes `first_event_ms`. The wait is
+    /// known, so a request that would be late is rejected with a time to come back; a stream that is resumed may wait
+    /// for one pause.
+    pub(crate) fn max_limit_wait_ms(&self, first_event_ms: f64) -> f64 {
+        (self.objective_ms - first_event_ms).max(self.pause_ms)
     }
 }
