Judge simulated loads by what callers got, not by a price list

Cause: `tests/overload.rs` and `tests/support/simulation.rs` summed the weights and late values of the customers' price lists (size against the mean of the kind, four times at most) and printed tenths and fifths of sizes and waits beyond an eighth of the objective.

Change: overload runs count answers in time, late answers, refusals, callers without any, and callers that learn after their objective that they are not served, by kind. The goals of docs/design/hard-load.md hold for requests in time, for all and for the short ones alone; a more urgent kind is served at least as often as a less urgent one; no short request stays unanswered; each kind is served to the goal at 2.5 times the load; short requests that are not served are refused before their objective. Comparisons with the baseline need more requests in time and more prompt tokens in time. Each value check is replaced by at least one of these: short requests and number on one side, long requests and tokens on the other.

--- a/crates/oleanderpost-serving/tests/large_fleet.rs
+++ b/crates/oleanderpost-serving/tests/large_fleet.rs
@@ -43,14 +43,12 @@
             medium: Kind {
                 rate_per_s: 12.5,
                 answer: 925.0,
-                value: (2.9, 0.73),
                 ..MEDIUM
             },
             long: Kind {
                 rate_per_s: 5.98,
                 prompt: 190_000.0,
                 answer: 768.0,
-                value: (18.0, 4.5),
                 ..LONG
             },
         }
@@ -80,7 +78,6 @@
             medium: Kind {
                 rate_per_s: 5.01,
                 answer: 798.0,
-                value: (3.3, 0.82),
                 ..MEDIUM
             },
             long: Kind {
@@ -89,7 +86,6 @@
                 max_prompt: 900_000.0,
                 answer: 684.0,
                 objective_ms: 4_000.0,
-                value: (34.0, 8.6),
                 ..LONG
             },
         }
@@ -180,16 +176,16 @@
         ("all", &bursts.total),
     ] {
         println!(
-            "{name:>8}: on time {:.3}, served {:.4}, value {:.3}, first event at p90 {:.0} ms",
+            "{name:>8}: on time {:.3}, served {:.4}, tokens on time {:.3}, first event at p90 {:.0} ms",
             stats.on_time_share(),
             stats.served_share(),
-            stats.value_share(),
+            stats.on_time_token_share(),
             stats.first_event_ms(0.9)
         );
     }
     assert!(bursts.short.first_event_ms(0.9) <= fleet.short.objective_ms);
     assert!(bursts.medium.first_event_ms(0.9) <= fleet.medium.objective_ms);
-    assert!(bursts.total.value_share() > bursts.baseline_total.value_share());
+    assert!(bursts.total.is_better_than(&bursts.baseline_total));
 }
 
 /// The users' rule: the longest tenth of a kind is served at least half as often as the whole kind.
--- a/crates/oleanderpost-serving/tests/long_prompts.rs
+++ b/crates/oleanderpost-serving/tests/long_prompts.rs
@@ -151,7 +151,6 @@
     let medium = Kind {
         rate_per_s: 1.57,
         answer: 785.0,
-        value: (3.9, 0.97),
         ..MEDIUM
     };
     let long = Kind {
@@ -160,13 +159,12 @@
         max_prompt: 900_000.0,
         answer: 653.0,
         objective_ms: OBJECTIVE_MS,
-        value: (24.0, 6.1),
         ..LONG
     };
     [short, medium, long]
 }
 
-/// All kinds at `factor` times the usual rate: the scheduler must serve more value than the engine with the fewest
+/// All kinds at `factor` times the usual rate: the scheduler must serve more in time than the engine with the fewest
 /// requests in progress, and the longest tenth at least half as often as all long prompts (the users' rule).
 fn check_load(factor: f64) {
     let (mut scheduled, mut baseline) = (OutcomeStats::default(), OutcomeStats::default());
@@ -193,14 +191,14 @@
     let (all, tenth) = (&longs[..], &longs[longs.len() * 9 / 10..]);
     let served = |longs| share(longs, &|outcome| outcome.completed);
     println!(
-        "{factor} times: value {:.3} and {:.3}; long in time {:.3}, served {:.3}, longest tenth {:.3}",
-        scheduled.value_share(),
-        baseline.value_share(),
+        "{factor} times: tokens on time {:.3} and {:.3}; long in time {:.3}, served {:.3}, longest tenth {:.3}",
+        scheduled.on_time_token_share(),
+        baseline.on_time_token_share(),
         share(all, &in_time),
         served(all),
         served(tenth)
     );
-    assert!(scheduled.value_share() > baseline.value_share());
+    assert!(scheduled.is_better_than(&baseline));
     assert!(served(tenth) >= served(all) / 2.0);
 }
 
--- a/crates/oleanderpost-serving/tests/mixed_load.rs
+++ b/crates/oleanderpost-serving/tests/mixed_load.rs
@@ -49,21 +49,17 @@
         let (scheduled, baseline) = total_stats(kind, &runs);
         let name = kind.unwrap_or("all");
         println!(
-            "{name:>8}: on time {:.3} and {:.3}, served {:.4} and {:.4}, value {:.3} and {:.3}, first event at p90 {:.0} and {:.0} ms",
+            "{name:>8}: on time {:.3} and {:.3}, served {:.4} and {:.4}, tokens on time {:.3} and {:.3}, first event at p90 {:.0} and {:.0} ms",
             scheduled.on_time_share(),
             baseline.on_time_share(),
             scheduled.served_share(),
             baseline.served_share(),
-            scheduled.value_share(),
-            baseline.value_share(),
+            scheduled.on_time_token_share(),
+            baseline.on_time_token_share(),
             scheduled.first_event_ms(0.9),
             baseline.first_event_ms(0.9)
         );
-        assert!(scheduled.value_share() > baseline.value_share(), "{name}");
-        assert!(
-            scheduled.on_time_share() > baseline.on_time_share(),
-            "{name}"
-        );
+        assert!(scheduled.is_better_than(&baseline), "{name}");
     }
     for (seed, run) in SEEDS.zip(runs.chunks(1)) {
         let (short, _) = total_stats(Some("short"), run);
@@ -73,10 +69,7 @@
             short.first_event_ms(0.9)
         );
         let (scheduled, baseline) = total_stats(None, run);
-        assert!(
-            scheduled.value_share() > baseline.value_share(),
-            "seed {seed}"
-        );
+        assert!(scheduled.is_better_than(&baseline), "seed {seed}");
         assert!(
             scheduled.served_share() >= 0.99,
             "seed {seed}: {}",
--- a/crates/oleanderpost-serving/tests/overload.rs
+++ b/crates/oleanderpost-serving/tests/overload.rs
@@ -2,7 +2,7 @@
 //!
 //! The two deployments and the behaviour of callers are those of `docs/design/hard-load.md`: six seconds at the usual
 //! rate, then twelve at 1.5, 2.5 and 4 times that rate. Callers give up without a first event, and retry once after a
-//! rejection when told to.
+//! rejection when told to. A run is judged by what callers got: an answer in time or late, a refusal and when, or nothing.
 
 mod support;
 
@@ -15,10 +15,10 @@
 const WARM_UP_MS: f64 = 6_000.0;
 /// Duration of the overload in milliseconds.
 const OVERLOAD_MS: f64 = 12_000.0;
+/// Kinds of requests, the most urgent first.
+const KIND_NAMES: [&str; 3] = ["short", "medium", "long"];
 /// Seeds of the simulated loads.
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=2;
-/// Weight of an answer token in the size of a request, compared with a prompt token.
-const ANSWER_WEIGHT: f64 = 10.0;
 
 /// A deployment: its engines and its kinds of requests, the most urgent first.
 struct Deployment {
@@ -34,7 +34,6 @@
             answer: 1_370.0,
             objective_ms: 250.0,
             pause_ms: 200.0,
-            value: (1.9, 0.19),
             priority: 0,
             ..SHORT
         };
@@ -42,7 +41,6 @@
             rate_per_s: 9.15,
             answer: 800.0,
             pause_ms: 500.0,
-            value: (1.9, 0.48),
             priority: 1,
             ..MEDIUM
         };
@@ -53,7 +51,6 @@
             answer: 684.0,
             objective_ms: 8_000.0,
             pause_ms: 800.0,
-            value: (11.0, 4.1),
             priority: 2,
             ..LONG
         };
@@ -68,18 +65,15 @@
         let short = Kind {
             rate_per_s: 81.0,
             objective_ms: 300.0,
-            value: (1.4, 0.34),
             ..short
         };
         let medium = Kind {
             rate_per_s: 7.42,
-            value: (2.6, 0.66),
             ..medium
         };
         let long = Kind {
             rate_per_s: 2.2,
             objective_ms: 4_000.0,
-            value: (30.0, 7.5),
             ..long
         };
         Self {
@@ -136,8 +130,6 @@
     served: bool,
     /// Whether it was rejected, and was not served later.
     rejected: bool,
-    /// Whether it was rejected again after the time stated in the first rejection.
-    rejected_again: bool,
     /// Longest time for which it was held before it was rejected or its caller gave up, in milliseconds.
     held_ms: f64,
 }
@@ -159,7 +151,6 @@
             call.on_time |= retry.on_time;
             call.served |= retry.served;
             call.rejected = retry.rejected;
-            call.rejected_again = retry.rejected;
             call.held_ms = call.held_ms.max(retry.held_ms);
         }
         calls.retain(|call| call.request.at >= WARM_UP_MS);
@@ -176,26 +167,18 @@
             on_time,
             served: outcome.completed,
             rejected: outcome.refused,
-            rejected_again: false,
             held_ms: outcome.held_ms,
         }
     }
 
-    fn size(&self) -> f64 {
-        self.request.prompt + ANSWER_WEIGHT * self.request.answer
+    /// Whether the caller got neither an answer nor a refusal.
+    fn is_unanswered(&self) -> bool {
+        !self.served && !self.rejected
     }
 
-    /// Value that it has earned, and the value that it could have earned.
-    fn value(&self) -> (f64, f64) {
-        let kind = &self.request.kind;
-        let mean_size = kind.prompt + ANSWER_WEIGHT * kind.answer;
-        let weight = (0.3 + 0.7 * self.size() / mean_size).min(4.0);
-        let value = match (self.on_time, self.served) {
-            (true, _) => kind.value.0,
-            (false, true) => kind.value.1,
-            (false, false) => 0.0,
-        };
-        (value * weight, kind.value.0 * weight)
+    /// Whether it was not served, and its caller learned that only after the objective.
+    fn was_held_in_vain(&self) -> bool {
+        !self.served && self.held_ms > self.request.kind.objective_ms
     }
 }
 
@@ -210,104 +193,98 @@
     counted as f64 / calls.len().max(1) as f64
 }
 
-fn value_share(calls: &[&Call]) -> f64 {
-    let earned: f64 = calls.iter().map(|call| call.value().0).sum();
-    let possible: f64 = calls.iter().map(|call| call.value().1).sum();
-    earned / possible
-}
-
 impl Run {
-    /// Requests of a kind, ordered by size; of all kinds if `name` is `None`.
+    /// Requests of a kind; of all kinds if `name` is `None`.
     fn calls(&self, name: Option<&str>) -> Vec<&Call> {
         let of_kind = |call: &&Call| name.is_none_or(|name| call.request.kind.name == name);
-        let mut calls: Vec<_> = self.calls.iter().filter(of_kind).collect();
-        calls.sort_by(|a, b| a.size().total_cmp(&b.size()));
-        calls
+        self.calls.iter().filter(of_kind).collect()
     }
 
-    /// Value earned per second.
-    fn goodput(&self) -> f64 {
-        let earned: f64 = self.calls.iter().map(|call| call.value().0).sum();
-        earned * 1e3 / OVERLOAD_MS / SEEDS.count() as f64
+    /// Number of requests that were served in time.
+    fn in_time(&self) -> usize {
+        self.calls.iter().filter(|call| call.on_time).count()
     }
 
-    /// Shares of the largest tenth of a kind, and of the fifth below it, that were served.
-    fn served_by_size(calls: &[&Call]) -> (f64, f64) {
-        let (tenth, third) = (calls.len() * 9 / 10, calls.len() * 7 / 10);
-        let served = |calls: &[&Call]| share(calls, |call| call.served);
-        (served(&calls[tenth..]), served(&calls[third..tenth]))
+    fn served_share(&self, name: &str) -> f64 {
+        share(&self.calls(Some(name)), |call| call.served)
     }
 
     fn print(&self, title: &str) {
-        println!(
-            "{title}: goodput {:.1} per second, value {:.3}, {} needless refusals",
-            self.goodput(),
-            value_share(&self.calls(None)),
-            self.needless_refusals
-        );
-        for name in ["short", "medium", "long"] {
+        println!("{title}: {} needless refusals", self.needless_refusals);
+        for name in KIND_NAMES {
             let calls = self.calls(Some(name));
-            let (tenth, fifth) = Self::served_by_size(&calls);
-            let held = |call: &Call| call.held_ms > call.request.kind.objective_ms / 8.0;
             println!(
-                "{name:>8}: {:5} calls, on time {:.3}, late {:.3}, rejected {:.3}, again {:.3}, held {:.3}, served {:.3}, tenth {tenth:.3}, fifth {fifth:.3}, value {:.3}",
+                "{name:>8}: {:5} calls, in time {:.3}, late {:.3}, rejected {:.3}, unanswered {:.3}, held in vain {:.3}",
                 calls.len(),
                 share(&calls, |call| call.on_time),
                 share(&calls, |call| call.served && !call.on_time),
                 share(&calls, |call| call.rejected),
-                share(&calls, |call| call.rejected_again),
-                share(&calls, held),
-                share(&calls, |call| call.served),
-                value_share(&calls),
+                share(&calls, Call::is_unanswered),
+                share(&calls, Call::was_held_in_vain),
             );
         }
-        let all = self.calls(None);
-        let accounts = (0..24).map(|account| {
-            let calls: Vec<_> = all
-                .iter()
-                .copied()
-                .filter(|call| call.request.account == account)
-                .collect();
-            share(&calls, |call| call.served)
-        });
-        let lowest = accounts.fold(f64::INFINITY, f64::min);
-        println!(
-            "     all: served {:.3}, account served least {lowest:.3}",
-            share(&all, |call| call.served)
-        );
     }
 }
 
-/// Guards against congestion collapse: more load than the engines can serve must not lower the value earned. The goals are
-/// those of `docs/design/hard-load.md` for 2.5 times the usual load.
-fn check_goodput(name: &str, deployment: &Deployment, value_goal: f64) -> Run {
+/// Guards against congestion collapse: more load than the engines can serve must not lower the number of requests that are
+/// served in time. `goals` are the shares in time at 2.5 and 4 times the usual load, as stated in
+/// `docs/design/hard-load.md`.
+fn check_overload(name: &str, deployment: &Deployment, goals: [f64; 2]) {
     let [moderate, high, extreme] = [1.5, 2.5, 4.0].map(|factor| {
         let run = deployment.run(factor);
         run.print(&format!("{name} deployment, {factor} times"));
         run
     });
-    assert!(high.goodput() >= moderate.goodput());
-    assert!(extreme.goodput() >= moderate.goodput());
-    let value = value_share(&high.calls(None));
-    assert!(value >= value_goal, "{value:.3}");
-    extreme
+    assert!(high.in_time() >= moderate.in_time());
+    assert!(extreme.in_time() >= moderate.in_time());
+    for (run, goal) in [(&high, goals[0]), (&extreme, goals[1])] {
+        let in_time = share(&run.calls(None), |call| call.on_time);
+        assert!(in_time >= goal, "{in_time:.3} in time, goal {goal}");
+        let short = share(&run.calls(Some("short")), |call| call.on_time);
+        assert!(
+            short >= goal,
+            "{short:.3} of the short ones in time, goal {goal}"
+        );
+        // A more urgent kind is served at least as often as a less urgent one.
+        let [short, medium, long] = KIND_NAMES.map(|kind| run.served_share(kind));
+        assert!(
+            short >= medium && medium >= long,
+            "{short:.3} {medium:.3} {long:.3}"
+        );
+        let short = run.calls(Some("short"));
+        let unanswered = short.iter().filter(|call| call.is_unanswered()).count();
+        assert_eq!(unanswered, 0, "short requests without an answer");
+    }
 }
 
 #[test]
-fn goodput_of_the_first_deployment_holds_under_overload() {
-    let extreme = check_goodput("first", &Deployment::first(), 0.85);
-    let value = value_share(&extreme.calls(None));
-    assert!(value >= 0.65, "{value:.3}");
+fn requests_are_served_in_time_by_the_first_deployment_under_overload() {
+    check_overload("first", &Deployment::first(), [0.85, 0.65]);
 }
 
 #[test]
-fn goodput_of_the_second_deployment_holds_under_overload() {
-    check_goodput("second", &Deployment::second(), 0.72);
+fn requests_are_served_in_time_by_the_second_deployment_under_overload() {
+    check_overload("second", &Deployment::second(), [0.72, 0.5]);
 }
 
+/// Guards against the least urgent kind paying for all others while the engines could serve most of it.
 #[test]
-fn value_goal_of_the_second_deployment_is_met_at_4_times_the_load() {
-    let extreme = Deployment::second().run(4.0);
-    let value = value_share(&extreme.calls(None));
-    assert!(value >= 0.5, "{value:.3}");
+fn each_kind_is_served_at_2_5_times_the_load() {
+    for (deployment, goal) in [(Deployment::first(), 0.85), (Deployment::second(), 0.72)] {
+        let run = deployment.run(2.5);
+        let shares = KIND_NAMES.map(|kind| run.served_share(kind));
+        println!("served at 2.5 times: {shares:.3?}, goal {goal}");
+        assert!(shares.iter().all(|share| *share >= goal), "{shares:.3?}");
+    }
+}
+
+/// Guards against callers that learn only after their objective that they are not served, too late to go elsewhere.
+#[test]
+fn short_requests_that_are_not_served_are_refused_before_their_objective() {
+    for deployment in [Deployment::first(), Deployment::second()] {
+        let run = deployment.run(4.0);
+        let short = run.calls(Some("short"));
+        let held = short.iter().filter(|call| call.was_held_in_vain()).count();
+        assert_eq!(held, 0, "of {} short requests", short.len());
+    }
 }
--- a/crates/oleanderpost-serving/tests/support/load.rs
+++ b/crates/oleanderpost-serving/tests/support/load.rs
@@ -19,8 +19,6 @@
     pub(crate) objective_ms: f64,
     pub(crate) pause_ms: f64,
     pub(crate) deadline_ms: f64,
-    /// Value of an answer that is on time, and of a late one.
-    pub(crate) value: (f64, f64),
     pub(crate) priority: u8,
 }
 
@@ -42,7 +40,6 @@
     objective_ms: 300.0,
     pause_ms: 250.0,
     deadline_ms: 10_000.0,
-    value: (1.3, 0.33),
     priority: 1,
 };
 
@@ -56,7 +53,6 @@
     objective_ms: 1_500.0,
     pause_ms: 600.0,
     deadline_ms: 10_000.0,
-    value: (3.9, 0.98),
     priority: 1,
 };
 
@@ -70,7 +66,6 @@
     objective_ms: 3_000.0,
     pause_ms: 1_000.0,
     deadline_ms: 15_000.0,
-    value: (15.0, 3.7),
     priority: 1,
 };
 
--- a/crates/oleanderpost-serving/tests/support/simulation.rs
+++ b/crates/oleanderpost-serving/tests/support/simulation.rs
@@ -423,8 +423,9 @@
     pub(crate) submitted: usize,
     pub(crate) on_time: usize,
     pub(crate) served: usize,
-    pub(crate) value: f64,
-    pub(crate) max_value: f64,
+    /// Prompt tokens of the requests that met objective, pause and deadline, and of all.
+    on_time_tokens: f64,
+    tokens: f64,
     first_event_times: Vec<f64>,
 }
 
@@ -436,7 +437,6 @@
             if kind.is_some_and(|name| name != req.kind.name) {
                 continue;
             }
-            let size = (0.3 + 0.7 * req.prompt / req.kind.prompt).min(4.0);
             let on_time = outcome.completed
                 && outcome
                     .first_event_ms
@@ -445,12 +445,8 @@
             stats.submitted += 1;
             stats.on_time += usize::from(on_time);
             stats.served += usize::from(outcome.completed);
-            stats.max_value += req.kind.value.0 * size;
-            stats.value += match (outcome.completed, on_time) {
-                (_, true) => req.kind.value.0 * size,
-                (true, false) => req.kind.value.1 * size,
-                (false, false) => 0.0,
-            };
+            stats.tokens += req.prompt;
+            stats.on_time_tokens += if on_time { req.prompt } else { 0.0 };
             stats
                 .first_event_times
                 .push(outcome.first_event_ms.unwrap_or(f64::INFINITY));
@@ -464,8 +460,8 @@
         self.submitted += other.submitted;
         self.on_time += other.on_time;
         self.served += other.served;
-        self.value += other.value;
-        self.max_value += other.max_value;
+        self.on_time_tokens += other.on_time_tokens;
+        self.tokens += other.tokens;
         self.first_event_times.extend(&other.first_event_times);
         self.first_event_times.sort_by(f64::total_cmp);
     }
@@ -480,9 +476,16 @@
         self.served as f64 / self.submitted as f64
     }
 
-    /// Achieved share of the total value.
-    pub(crate) fn value_share(&self) -> f64 {
-        self.value / self.max_value
+    /// Share of the prompt tokens whose requests met objective, pause and deadline: unlike the share of the requests, it
+    /// depends mostly on the long ones.
+    pub(crate) fn on_time_token_share(&self) -> f64 {
+        self.on_time_tokens / self.tokens
+    }
+
+    /// Whether callers got more in time than with `baseline`, by number and by tokens.
+    pub(crate) fn is_better_than(&self, baseline: &Self) -> bool {
+        self.on_time_share() > baseline.on_time_share()
+            && self.on_time_token_share() > baseline.on_time_token_share()
     }
 
     /// Percentile of the time to the first event, with `share` from 0 to 1.
