--- a/review/standin-2/endless_answer.rs
+++ b/review/standin-2/endless_answer.rs
@@ -19,12 +19,12 @@
 };
 
 const MACHINES: usize = 3;
-const ENGINES: usize = 8;
+const ENGINES: usize = 16;
 /// Kept channels of clients to each machine.
-const CHANNELS: usize = 10;
+const CHANNELS: usize = 20;
 /// When the trouble begins, after the start of the traffic, and when the traffic ends, in seconds.
 const TROUBLE_AT: f64 = 6.0;
-const END_AT: f64 = 70.0;
+const END_AT: f64 = 85.0;
 /// A machine may close a kept channel without an answer so often (rule LOST).
 const ALLOWED: usize = 3;
 
@@ -52,8 +52,12 @@
 /// Sends streams one after the other on a kept channel, as long as it lasts.
 fn send_streams(machine: Arc<Machine>, n: usize, log: Log, record: Record, ended: Arc<AtomicBool>) {
     static NUMBER: AtomicU64 = AtomicU64::new(1);
-    // Prompt of an appointment letter or a note, and of a file or a history.
-    let prompt = if n % 5 == 0 { 45_000 } else { 4_960 };
+    // Prompts of the site's three kinds of stream, about in their proportion.
+    let prompt = match n {
+        0 => 133_000,
+        1 => 45_000,
+        _ => 4_960,
+    };
     let mut kept: Option<Channel> = None;
     while !ended.load(Ordering::Relaxed) {
         thread::sleep(Duration::from_millis(300));
--- a/review/standin-2/engine.rs
+++ b/review/standin-2/engine.rs
@@ -25,7 +25,6 @@
     pub request: String,
     pub tenant: String,
     pub engine: String,
-    pub at: Duration,
 }
 
 pub struct Engine {
@@ -133,7 +132,7 @@
         self.running.fetch_add(1, Ordering::Relaxed);
         let tenant = head.get("x-tenant").unwrap_or("").to_owned();
         self.record.line(&format!("  engine {} runs {method} {path} {request} tenant {tenant}", self.id));
-        let run = Run { request: request.clone(), tenant, engine: self.id.clone(), at: self.record.now() };
+        let run = Run { request: request.clone(), tenant, engine: self.id.clone() };
         self.runs.lock().unwrap().push(run);
         let headers = format!("{echo}X-Engine-Stamp: {}.{request}\r\n{load}", self.id);
         let answered = if path.starts_with("/stream/") {
--- a/review/standin-2/platform.rs
+++ b/review/standin-2/platform.rs
@@ -103,7 +103,7 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        self.record.line(&format!("{} starts", self.name));
+        self.record.line(&format!("{} starts (process {})", self.name, child.id()));
         *self.child.lock().unwrap() = Some(child);
         Ok(())
     }
