--- a/review/standin-2/endless_answer.rs
+++ b/review/standin-2/endless_answer.rs
@@ -1,4 +1,4 @@
-//! Case: one engine in trouble answers streams with a failure whose body never ends, in small chunks.
+//! Case: engines in trouble answer streams with a failure whose body never ends, in small chunks.
 
 use std::{
     collections::HashMap,
@@ -20,11 +20,17 @@
 
 const MACHINES: usize = 3;
 const ENGINES: usize = 16;
+/// Engines in trouble.
+const SICK: usize = 2;
 /// Kept channels of clients to each machine.
 const CHANNELS: usize = 20;
-/// When the trouble begins, after the start of the traffic, and when the traffic ends, in seconds.
+/// When the engine is in trouble for the first time, after the start of the traffic, for how long, and how often this comes
+/// again, in seconds.
 const TROUBLE_AT: f64 = 6.0;
-const END_AT: f64 = 85.0;
+const TROUBLE_FOR: f64 = 6.5;
+const TROUBLE_INTERVAL: f64 = 11.0;
+/// When the traffic ends.
+const END_AT: f64 = 95.0;
 /// A machine may close a kept channel without an answer so often (rule LOST).
 const ALLOWED: usize = 3;
 
@@ -137,14 +143,14 @@
     }
     store.put("op/config", &config(10, &["key-of-two"]));
     let machines = start_machines(MACHINES, &store, &dir, record).map_err(fail)?;
-    let played = play(record, trouble, &engines[0], &machines);
+    let played = play(record, trouble, &engines[..SICK], &machines);
     machines.iter().for_each(|m| m.close());
     let _ = std::fs::remove_dir_all(&dir);
     let log = played?;
     judge(record, &engines, &machines, &log)
 }
 
-fn play(record: &Record, trouble: bool, sick: &Arc<Engine>, machines: &[Arc<Machine>]) -> Result<Log, String> {
+fn play(record: &Record, trouble: bool, sick: &[Arc<Engine>], machines: &[Arc<Machine>]) -> Result<Log, String> {
     wait_ready(machines, record, 8.0)?;
     let log = Log::default();
     let ended = Arc::new(AtomicBool::new(false));
@@ -156,10 +162,15 @@
         }
     }
     let t = record.now().as_secs_f64();
-    record.sleep_until(t + TROUBLE_AT);
-    if trouble {
-        record.line(&format!("engine {} is in trouble: its answers to streams do not end", sick.id));
-        sick.endless.store(true, Ordering::Relaxed);
+    let mut at = TROUBLE_AT;
+    while trouble && at + TROUBLE_FOR < END_AT {
+        record.sleep_until(t + at);
+        record.line(&format!("{SICK} engines are in trouble: their answers to streams do not end"));
+        sick.iter().for_each(|engine| engine.endless.store(true, Ordering::Relaxed));
+        record.sleep_until(t + at + TROUBLE_FOR);
+        sick.iter().for_each(|engine| engine.endless.store(false, Ordering::Relaxed));
+        record.line("they answer new requests again");
+        at += TROUBLE_INTERVAL;
     }
     record.sleep_until(t + END_AT);
     ended.store(true, Ordering::Relaxed);
@@ -177,12 +188,12 @@
             ran_at.entry(run.request.clone()).or_default().push(run.engine.clone());
         }
     }
-    let sick = &engines[0].id;
+    let is_sick = |id: &String| engines[..SICK].iter().any(|engine| engine.id == *id);
     let mut lost_somewhere = false;
     for machine in machines {
         let closed = log.iter().filter(|(id, sent)| {
             let engines = ran_at.get(*id);
-            let sound = engines.is_some_and(|engines| engines.iter().all(|engine| engine != sick));
+            let sound = engines.is_some_and(|engines| !engines.iter().any(is_sick));
             sent.to == machine.name && sent.kept && sent.outcome == Outcome::ClosedUnanswered && sound
         });
         let closed: Vec<_> = closed.map(|(id, _)| id.as_str()).collect();
--- a/review/standin-2/engine.rs
+++ b/review/standin-2/engine.rs
@@ -156,7 +156,10 @@
             format!("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{headers}Transfer-Encoding: chunked\r\n\r\n").as_bytes(),
         )?;
         let prompt: f64 = head.get("x-token-count").and_then(|t| t.split_once(',')?.0.parse().ok()).unwrap_or(0.0);
-        let read_ms = prompt / 206.0 + 0.138 * prompt * prompt / 2e6;
+        // Helpers read even parts of the prompt at the same time; a list that begins with a ticket of the first engine
+        // names that one as well.
+        let helpers = head.get("x-helpers").map_or(0, |list| list.split(',').filter(|h| !h.starts_with(&self.addr.to_string())).count());
+        let read_ms = (prompt / 206.0 + 0.138 * prompt * prompt / 2e6) / (1 + helpers) as f64;
         thread::sleep(Duration::from_secs_f64(read_ms / 1e3));
         for id in first..=pieces {
             thread::sleep(Duration::from_millis(45));
