--- a/review/standin-2/revoked_key.rs
+++ b/review/standin-2/revoked_key.rs
@@ -115,25 +115,25 @@
     store.put("op/config", &config(13, &["key-of-two"]));
     let acked_at = record.now();
     record.line("operator takes leaked-key away with version 13; the store acknowledges it");
-    record.sleep_until(t + 6.0);
+    record.sleep_until(t + 6.4);
     if trouble {
         machines[2].kill("disruption");
     }
-    record.sleep_until(t + 7.5);
+    record.sleep_until(t + 7.9);
     if trouble {
         record.line("the store is away");
         store.go_away();
     }
-    record.sleep_until(t + 9.0);
+    record.sleep_until(t + 9.4);
     if trouble {
         store.come_back(copy);
-        record.line("the store comes back from a copy of 5.3 s ago; what it acknowledged since is gone");
+        record.line("the store comes back from a copy of 5.7 s ago; what it acknowledged since is gone");
     }
-    record.sleep_until(t + 9.1);
+    record.sleep_until(t + 9.5);
     if trouble {
         machines[2].start().map_err(|e| e.to_string())?;
     }
-    record.sleep_until(t + 10.8);
+    record.sleep_until(t + 11.2);
     if trouble {
         store.put("op/config", &config(13, &["key-of-two"]));
         record.line("operator writes version 13 again, 1.8 s after the return");
