Bound the memory of all that upstreams and peers send

Cause: collect() keeps each piece of a body as an entry of its own, which also keeps the read buffer that the piece came in; 8 MiB in pieces of one byte stand for some 300 MB. The limit of 8 MiB held for each response, and nothing for all of them. An error without end was also read until the deadline of its request, so that no other upstream was tried.

Change: received bytes are copied into one buffer, all of whose capacity counts towards a budget until the last reference is dropped. Bodies of requests and responses each have a share of the node's memory. When the one for responses is used up, the largest incomplete response of the upstream that uses most is given up, so that an upstream in trouble costs no other upstream's requests. Each small piece counts for 64 bytes. Error bodies end at 256 KiB, those of server errors after 1 s. Read buffers have 16 KiB; callers' connections are limited by memory too; messages of peers count until they are handled, small ones too. New gauges request_memory_bytes and response_memory_bytes.

--- a/crates/oleanderpost-peers/src/context.rs
+++ b/crates/oleanderpost-peers/src/context.rs
@@ -32,7 +32,7 @@
     pub(crate) rng: SharedRng,
     /// Limits the bytes that are queued for writing.
     pub(crate) outgoing_bytes: Arc<Semaphore>,
-    /// Limits the bytes of partly received large messages.
+    /// Limits the bytes of messages that are partly received or being handled.
     pub(crate) incoming_bytes: Arc<Semaphore>,
     pub(crate) peers: Mutex<HashMap<VmId, Arc<Peer>>>,
     pub(crate) next_id: AtomicU64,
--- a/crates/oleanderpost-peers/src/link_limits.rs
+++ b/crates/oleanderpost-peers/src/link_limits.rs
@@ -11,8 +11,11 @@
     /// Maximum number of messages queued for one peer.
     pub max_queued_messages: usize,
     /// Maximum number of bytes queued for all peers together. The same limit applies separately to the bytes
-    /// held of partly received messages of all peers together.
+    /// of received messages.
     pub max_buffered_bytes: usize,
+    /// Maximum number of bytes of messages of all peers together that are partly received or being handled, if less than
+    /// [`max_buffered_bytes`](Self::max_buffered_bytes).
+    pub max_received_bytes: usize,
     /// Maximum number of messages of one connection that are handled concurrently.
     pub max_handlers: usize,
     /// Maximum number of connections of one peer in use; when there are more, the oldest is closed gracefully.
@@ -30,6 +33,7 @@
             chunk_bytes: 16 << 10,
             max_queued_messages: 1_024,
             max_buffered_bytes: 16 << 20,
+            max_received_bytes: 16 << 20,
             max_handlers: 256,
             max_connections: 4,
             max_handshakes: 64,
--- a/crates/oleanderpost-peers/src/links_builder.rs
+++ b/crates/oleanderpost-peers/src/links_builder.rs
@@ -93,17 +93,19 @@
             handler,
             counters: Arc::clone(&counters),
         };
+        let limits = self.limits;
+        let max_received_bytes = limits.max_received_bytes.min(limits.max_buffered_bytes);
         let cx = Arc::new(Context {
             own_identity: self.own_identity,
             key: self.key,
             timings: self.timings,
-            limits: self.limits,
+            limits,
             address_book: self.address_book,
             handler: Arc::new(decoding_handler),
             counters,
             rng: Mutex::new(self.rng),
-            outgoing_bytes: Arc::new(Semaphore::new(self.limits.max_buffered_bytes)),
-            incoming_bytes: Arc::new(Semaphore::new(self.limits.max_buffered_bytes)),
+            outgoing_bytes: Arc::new(Semaphore::new(limits.max_buffered_bytes)),
+            incoming_bytes: Arc::new(Semaphore::new(max_received_bytes)),
             peers: Mutex::default(),
             next_id: AtomicU64::new(0),
             tasks: TaskTracker::new(),
--- a/crates/oleanderpost-peers/src/reader.rs
+++ b/crates/oleanderpost-peers/src/reader.rs
@@ -18,7 +18,7 @@
     writer::websocket_len,
 };
 
-/// An encoded message and, for a large one, its byte reservation.
+/// An encoded message and its byte reservation.
 type ReceivedMessage = (Bytes, Option<OwnedSemaphorePermit>);
 
 /// The reading half of a connection.
@@ -68,6 +68,8 @@
         }
         let message = if frame.is_last_chunk {
             self.assembler.finish()
+        } else if matches!(frame.kind, FrameKind::Request | FrameKind::Send) {
+            self.reserve(frame.body)
         } else {
             Some((frame.body, None))
         };
@@ -90,6 +92,14 @@
         Ok(())
     }
 
+    /// Reserves the bytes of a message until it has been handled; `None` if too few are free.
+    fn reserve(&self, body: Bytes) -> Option<ReceivedMessage> {
+        let permits = u32::try_from(body.len()).ok()?;
+        let budget = Arc::clone(&self.cx.incoming_bytes);
+        let permit = budget.try_acquire_many_owned(permits).ok()?;
+        Some((body, Some(permit)))
+    }
+
     /// Passes a message to the handler, or refuses it when a limit is reached.
     fn dispatch(&self, kind: FrameKind, id: u64, message: Option<ReceivedMessage>) {
         self.connection.record_use();
--- a/crates/oleanderpost-serving/src/admin_server.rs
+++ b/crates/oleanderpost-serving/src/admin_server.rs
@@ -6,7 +6,7 @@
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::Serialize;
-use tokio::{net::TcpListener, time::sleep};
+use tokio::{net::TcpListener, sync::Semaphore, time::sleep};
 
 use crate::{
     BootTime, EntryContext, Error, ResponseBody, Result, SchedulerHost,
@@ -16,6 +16,10 @@
 
 /// How long a connection may wait for the head of its next request.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Most open connections. Operators' tools and readiness checks need a few.
+const MAX_CONNECTIONS: usize = 256;
+/// Size of the buffer for the head of a request, in bytes; the smallest that hyper accepts.
+const HEAD_BUFFER_BYTES: usize = 8 << 10;
 /// Delay before accepting again after an accept error.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -84,15 +88,22 @@
     /// Accepts connections; never returns.
     pub async fn run(self) {
         let this = Arc::new(self);
+        let slots = Arc::new(Semaphore::new(MAX_CONNECTIONS));
         loop {
             match this.listener.accept().await {
                 Ok((stream, _)) => {
+                    let Ok(slot) = Arc::clone(&slots).try_acquire_owned() else {
+                        spdlog::warn!("operator connection closed: too many open connections", kv: { open = MAX_CONNECTIONS });
+                        continue;
+                    };
                     let this = Arc::clone(&this);
                     tokio::spawn(async move {
+                        let _slot = slot;
                         let service = service_fn(|req| this.handle(req));
                         let connection = http1::Builder::new()
                             .timer(TokioTimer::new())
                             .header_read_timeout(IDLE_TIMEOUT)
+                            .max_buf_size(HEAD_BUFFER_BYTES)
                             .serve_connection(TokioIo::new(stream), service);
                         if let Err(e) = connection.await {
                             spdlog::debug!("operator connection closed with an error", kv: { error: = e });
@@ -155,6 +166,8 @@
             waiting,
             placed,
             searches: self.scheduler_host.searches(),
+            request_memory: self.entry.request_memory.used_bytes(),
+            response_memory: self.entry.client.response_memory.used_bytes(),
         })
     }
 
--- a/crates/oleanderpost-serving/src/admitted_request.rs
+++ b/crates/oleanderpost-serving/src/admitted_request.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     Account, AttemptError, BootTime, RequestFingerprint, RequestHead, Route, ServiceName,
-    body_budget::BodyAllocation, dispatch_status::DispatchStatus,
+    dispatch_status::DispatchStatus,
 };
 
 /// Longest gap between events of a stream that callers expect, if the route does not state one.
@@ -21,9 +21,8 @@
 pub(crate) struct AdmittedRequest {
     pub(crate) head: RequestHead,
     pub(crate) parts: Arc<Parts>,
+    /// Counts towards the node's memory for request bodies until it is dropped.
     pub(crate) body: Bytes,
-    /// Memory of the body, released when the request is dropped.
-    pub(crate) _body_allocation: BodyAllocation,
     pub(crate) route: Arc<Route>,
     pub(crate) account: Option<Arc<Account>>,
     pub(crate) service: ServiceName,
--- a/crates/oleanderpost-serving/src/buffered_proxy.rs
+++ b/crates/oleanderpost-serving/src/buffered_proxy.rs
@@ -119,7 +119,7 @@
             .await?;
         let load = response.head.load;
         let time_left = time_limit.saturating_sub(started.elapsed());
-        let collected = response.collect(&self.entry.client.pool, time_left).await;
+        let collected = response.collect(&self.entry.client, time_left).await;
         let (parts, body) = collected.map_err(|e| e.into_attempt_error(&upstream.id))?;
         let failed = parts.status.is_server_error();
         self.entry.balancer.note_response(
--- a/crates/oleanderpost-serving/src/caller_server.rs
+++ b/crates/oleanderpost-serving/src/caller_server.rs
@@ -11,8 +11,9 @@
 };
 
 use crate::{
-    CallerLimits, EntryContext, Error, RequestHandler, ResponseBody, Result,
-    caller_connections::CallerConnections,
+    CallerLimits, EntryContext, Error, RequestHandler, ResponseBody, Result, Settings,
+    caller_connections::CallerConnections, client_connection::READ_BUFFER_BYTES,
+    memory_limits::MemoryLimits,
 };
 
 /// Number of connections that the operating system queues until they are accepted.
@@ -26,6 +27,13 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Smallest read buffer that hyper accepts, in bytes.
 const MIN_READ_BUFFER: usize = 8 << 10;
+/// Bytes of a request head beyond the limit on its header fields, for the request line.
+const REQUEST_LINE_BYTES: usize = 8 << 10;
+/// Usual limit on the header fields of a request, in bytes.
+const USUAL_HEADER_BYTES: usize = 16 << 10;
+/// Most memory for the connections of one request, in bytes: its head, and the read buffer of the connection on which it
+/// is forwarded.
+const CONNECTION_BYTES: usize = USUAL_HEADER_BYTES + REQUEST_LINE_BYTES + READ_BUFFER_BYTES;
 /// Time that an idle connection stays open beyond the limit for callers, so that no request is sent while the
 /// connection is being closed.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
@@ -40,15 +48,18 @@
 }
 
 impl CallerServer {
-    /// Binds the listener to `address`.
+    /// Binds the listener to the address for callers. The descriptors and the memory of the node limit the connections.
     ///
     /// # Errors
     ///
     /// [`Error::Listen`] when the address can't be bound.
-    pub fn bind(address: SocketAddr, entry: Arc<EntryContext>, descriptors: usize) -> Result<Self> {
+    pub fn bind(settings: &Settings, entry: Arc<EntryContext>) -> Result<Self> {
+        let address = settings.callers_listen;
         let listener =
             bind_listener(address).map_err(|source| Error::Listen { address, source })?;
-        let max_connections = (descriptors as f64 * CALLER_DESCRIPTOR_SHARE) as usize;
+        let for_descriptors = (settings.descriptors as f64 * CALLER_DESCRIPTOR_SHARE) as usize;
+        let memory = MemoryLimits::new(settings.memory_mb);
+        let max_connections = for_descriptors.min(memory.connections / CONNECTION_BYTES);
         Ok(Self {
             listener,
             handler: Arc::new(RequestHandler::new(Arc::clone(&entry))),
@@ -127,7 +138,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout + IDLE_TIMEOUT_MARGIN)
-        .max_buf_size(limits.header_bytes.max(MIN_READ_BUFFER) * 2)
+        .max_buf_size(limits.header_bytes.max(MIN_READ_BUFFER) + REQUEST_LINE_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let served = tokio::select! {
--- /dev/null
+++ b/crates/oleanderpost-serving/src/client_connection.rs
@@ -0,0 +1,31 @@
+//! Connections on which the node sends requests.
+
+use bytes::Bytes;
+use hyper::{
+    body::Body,
+    client::conn::http1::{Builder, Connection, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+/// Size of the read buffer of a connection, in bytes; a longer head of a response is an error. Usual limits of servers
+/// are 8 to 16 KiB.
+pub(crate) const READ_BUFFER_BYTES: usize = 16 << 10;
+
+/// Prepares a connection for requests. The returned connection must be polled.
+///
+/// # Errors
+///
+/// Error if the connection has failed.
+pub async fn handshake<B>(
+    stream: TcpStream,
+) -> hyper::Result<(SendRequest<B>, Connection<TokioIo<TcpStream>, B>)>
+where
+    B: Body<Data = Bytes> + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    Builder::new()
+        .max_buf_size(READ_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await
+}
--- a/crates/oleanderpost-serving/src/entry_context.rs
+++ b/crates/oleanderpost-serving/src/entry_context.rs
@@ -14,16 +14,14 @@
     AttemptError, Attempts, BootTime, DataCentreName, EngineControl, LogRateLimiter, Metrics,
     NodeState, PlainBalancer, SchedulerClient, Settings, Upstream, UpstreamCodec,
     admitted_request::AdmittedRequest,
-    body_budget::BodyBudget,
     idle_connection_limit,
+    memory_budget::MemoryBudget,
+    memory_limits::MemoryLimits,
     retry_counters::RetryCounters,
     upstream_client::{EVACUATED_STEP, UpstreamClient},
     upstream_reach::UpstreamReach,
 };
 
-/// Share of the process's memory limit that request bodies may use.
-const BODY_MEMORY_SHARE: f64 = 0.25;
-
 /// State and clients that all requests of an entry node share.
 pub struct EntryContext {
     pub(crate) codec: Arc<dyn UpstreamCodec>,
@@ -38,7 +36,8 @@
     pub(crate) data_centre: DataCentreName,
     pub(crate) reservation_max: Duration,
     log_limiter: LogRateLimiter,
-    pub(crate) body_budget: Arc<BodyBudget>,
+    /// Memory for the bodies of requests. All callers are one source.
+    pub(crate) request_memory: Arc<MemoryBudget<()>>,
     pub(crate) in_progress: AtomicUsize,
 }
 
@@ -52,10 +51,15 @@
         state: Arc<NodeState>,
         scheduler: Arc<SchedulerClient>,
     ) -> Self {
-        let memory_bytes = settings.memory_mb as f64 * 1024.0 * 1024.0;
+        let memory = MemoryLimits::new(settings.memory_mb);
         let reach = Arc::new(UpstreamReach::new());
         Self {
-            client: UpstreamClient::new(Arc::clone(&codec), Arc::clone(&state), Arc::clone(&reach)),
+            client: UpstreamClient::new(
+                Arc::clone(&codec),
+                Arc::clone(&state),
+                Arc::clone(&reach),
+                MemoryBudget::new(memory.responses),
+            ),
             reach,
             codec,
             control,
@@ -67,7 +71,7 @@
             data_centre: settings.data_centre(),
             reservation_max: settings.reservation_max(),
             log_limiter: LogRateLimiter::new(BootTime::now()),
-            body_budget: BodyBudget::new((memory_bytes * BODY_MEMORY_SHARE) as usize),
+            request_memory: MemoryBudget::new(memory.request_bodies),
             in_progress: AtomicUsize::new(0),
         }
     }
--- a/crates/oleanderpost-serving/src/event_reader.rs
+++ b/crates/oleanderpost-serving/src/event_reader.rs
@@ -2,12 +2,15 @@
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
-use crate::{AttemptError, Event, EventSplitter, RunStatus, UpstreamId, WorkEnd};
+use crate::{
+    AttemptError, Event, EventSplitter, OutOfMemory, RunStatus, UpstreamId, WorkEnd,
+    body_reader::MIN_PIECE_BYTES, memory_allocation::MemoryAllocation,
+};
 
 /// Largest size of one event, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
@@ -33,6 +36,9 @@
     /// An event is longer than any of a working engine.
     #[error("event exceeds the size limit")]
     TooLarge,
+    /// The node has no memory for the event.
+    #[error(transparent)]
+    OutOfMemory(#[from] OutOfMemory),
     /// The connection failed, or ended inside an event.
     #[error("{0}")]
     Disconnected(String),
@@ -55,7 +61,9 @@
     pub(crate) fn work_end(&self) -> WorkEnd {
         match self {
             Self::Disconnected(_) => WorkEnd::Disconnected,
-            Self::TimedOut | Self::EngineLost | Self::TooLarge => WorkEnd::Failed,
+            Self::TimedOut | Self::EngineLost | Self::TooLarge | Self::OutOfMemory(_) => {
+                WorkEnd::Failed
+            }
         }
     }
 }
@@ -65,23 +73,33 @@
     body: Incoming,
     splitter: EventSplitter,
     /// Comments and empty lines since the last event; they are forwarded with the next one.
-    comments: BytesMut,
+    comments: Vec<u8>,
+    /// Bytes received since the last event. Small pieces count for more than they have, like those of other bodies.
+    bytes_since_event: usize,
+    /// Memory of the incomplete event and the comments.
+    allocation: MemoryAllocation<UpstreamId>,
 }
 
 impl EventReader {
-    pub(crate) fn new(body: Incoming) -> Self {
+    pub(crate) fn new(body: Incoming, allocation: MemoryAllocation<UpstreamId>) -> Self {
         Self {
             body,
             splitter: EventSplitter::default(),
-            comments: BytesMut::new(),
+            comments: Vec::new(),
+            bytes_since_event: 0,
+            allocation,
         }
     }
 
     /// Reads the next complete event within `limit`. After [`EventError::TimedOut`], the next call continues
     /// where this one stopped.
     pub(crate) async fn next_event(&mut self, limit: Duration) -> Result<StreamItem, EventError> {
-        let next = timeout(limit, self.read_event()).await;
-        next.map_err(|_| EventError::TimedOut)?
+        let revoked = self.allocation.revocation();
+        tokio::select! {
+            biased;
+            () = revoked.cancelled() => Err(OutOfMemory.into()),
+            next = timeout(limit, self.read_event()) => next.map_err(|_| EventError::TimedOut)?,
+        }
     }
 
     async fn read_event(&mut self) -> Result<StreamItem, EventError> {
@@ -89,18 +107,22 @@
             if let Some(event) = self.splitter.next_event() {
                 // An engine that sends only comments is stalled.
                 if event.has_field() {
+                    self.bytes_since_event = 0;
                     let bytes = self.with_comments(event.bytes);
                     return Ok(StreamItem::Event(Event { bytes, ..event }));
                 }
                 self.comments.extend_from_slice(&event.bytes);
                 continue;
             }
-            if self.splitter.buffered_len() + self.comments.len() > MAX_EVENT_BYTES {
+            if self.bytes_since_event > MAX_EVENT_BYTES {
                 return Err(EventError::TooLarge);
             }
+            let memory = self.splitter.capacity() + self.comments.capacity();
+            self.allocation.resize(memory)?;
             match self.body.frame().await {
                 Some(Ok(frame)) => {
                     if let Ok(bytes) = frame.into_data() {
+                        self.bytes_since_event += bytes.len().max(MIN_PIECE_BYTES);
                         self.splitter.push(&bytes);
                     }
                 }
@@ -122,7 +144,8 @@
         if self.comments.is_empty() {
             return event;
         }
-        self.comments.extend_from_slice(&event);
-        self.comments.split().freeze()
+        let mut bytes = std::mem::take(&mut self.comments);
+        bytes.extend_from_slice(&event);
+        Bytes::from(bytes)
     }
 }
--- a/crates/oleanderpost-serving/src/lib.rs
+++ b/crates/oleanderpost-serving/src/lib.rs
@@ -26,7 +26,7 @@
 mod attempt_error;
 mod attempt_headers;
 mod attempts;
-mod body_budget;
+mod body_reader;
 mod boot_clock;
 mod boot_time;
 mod buffered_proxy;
@@ -35,6 +35,7 @@
 mod caller_server;
 mod candidate;
 mod change_log;
+mod client_connection;
 mod cold_limit;
 mod cold_times;
 mod cold_upstream;
@@ -56,6 +57,7 @@
 mod entry_context;
 mod error;
 mod evacuation_change;
+mod event_queue;
 mod event_reader;
 mod event_splitter;
 mod evidence;
@@ -72,6 +74,10 @@
 mod light_backlog;
 mod light_demand;
 mod log_rate_limiter;
+mod memory_allocation;
+mod memory_budget;
+mod memory_limits;
+mod metered_buf;
 mod metrics;
 mod node;
 mod node_gauges;
@@ -149,9 +155,11 @@
     attempt_error::AttemptError,
     attempt_headers::{AttemptHeaders, HelperAddress},
     attempts::Attempts,
+    body_reader::{BodyError, discard_body, read_body},
     boot_time::BootTime,
     caller_limits::CallerLimits,
     caller_server::CallerServer,
+    client_connection::handshake,
     cold_limit::ColdLimit,
     cold_times::MAX_COLD_TIME,
     cold_upstream::ColdUpstream,
@@ -175,6 +183,7 @@
     grant::Grant,
     lease::Lease,
     log_rate_limiter::LogRateLimiter,
+    memory_budget::OutOfMemory,
     metrics::Metrics,
     node::{Node, PlatformParts},
     node_name::node_name,
--- a/crates/oleanderpost-serving/src/node.rs
+++ b/crates/oleanderpost-serving/src/node.rs
@@ -6,7 +6,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use oleanderpost_peers::{Handler, LinkTimings, Links, LinksBuilder, SharedKey};
+use oleanderpost_peers::{Handler, LinkLimits, LinkTimings, Links, LinksBuilder, SharedKey};
 use oleanderpost_types::{DataCentre, Incarnation, VmId};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha20Rng;
@@ -20,7 +20,7 @@
     AdminServer, BootTime, CallerServer, DecisionRouter, Discovery, DiscoverySource, EngineControl,
     EntryContext, Error, NodeState, PeerStateSource, Result, SchedulerClient, SchedulerHost,
     SchedulerMessage, Settings, SignalVersion, StorePosition, UpstreamCodec, UpstreamId,
-    UpstreamSignal, caller_connections::CallerConnections, node_name,
+    UpstreamSignal, caller_connections::CallerConnections, memory_limits::MemoryLimits, node_name,
     node_name::NodeNameAddressBook,
 };
 
@@ -110,11 +110,7 @@
             Arc::clone(&scheduler),
         );
         let entry = Arc::new(entry);
-        let caller_server = CallerServer::bind(
-            settings.callers_listen,
-            Arc::clone(&entry),
-            settings.descriptors,
-        )?;
+        let caller_server = CallerServer::bind(settings, Arc::clone(&entry))?;
         let admin_server = AdminServer::bind(
             settings.admin_listen,
             Arc::clone(&entry),
@@ -350,6 +346,10 @@
         backoff_max: MAX_LINK_BACKOFF,
         ..LinkTimings::default()
     };
+    let limits = LinkLimits {
+        max_received_bytes: MemoryLimits::new(settings.memory_mb).messages,
+        ..LinkLimits::default()
+    };
     let builder = LinksBuilder::new(
         own_name.clone(),
         incarnation(),
@@ -365,6 +365,7 @@
     });
     let builder = builder
         .with_address_book(Arc::new(NodeNameAddressBook))
+        .with_limits(limits)
         .with_timings(timings);
     let links = builder
         .open::<SchedulerMessage>(Arc::clone(&handler) as Arc<dyn Handler<_>>)
--- a/crates/oleanderpost-serving/src/node_gauges.rs
+++ b/crates/oleanderpost-serving/src/node_gauges.rs
@@ -33,6 +33,10 @@
     pub(crate) placed: usize,
     /// Number of searches for an engine since the node started.
     pub(crate) searches: u64,
+    /// Bytes of the bodies of requests.
+    pub(crate) request_memory: usize,
+    /// Bytes of responses that are being received or passed on.
+    pub(crate) response_memory: usize,
 }
 
 /// Gauges for a node's state.
@@ -50,6 +54,8 @@
     waiting: Gauge,
     placed: Gauge,
     searches: Gauge,
+    request_memory: Gauge,
+    response_memory: Gauge,
 }
 
 impl NodeGauges {
@@ -79,6 +85,11 @@
         let waiting = gauge("scheduler_waiting", "Requests that wait for an engine here");
         let placed = gauge("scheduler_placed", "Requests placed from here");
         let searches = gauge("scheduler_searches", "Searches for an engine since start");
+        let request_memory = gauge("request_memory_bytes", "Memory of the bodies of requests");
+        let response_memory = gauge(
+            "response_memory_bytes",
+            "Memory of responses that are being received or passed on",
+        );
         let evidence_age = Gauge::default();
         registry.register(
             "evidence_age_seconds",
@@ -99,6 +110,8 @@
             waiting,
             placed,
             searches,
+            request_memory,
+            response_memory,
         }
     }
 
@@ -119,5 +132,7 @@
         self.waiting.set(count(values.waiting));
         self.placed.set(count(values.placed));
         self.searches.set(number(values.searches));
+        self.request_memory.set(count(values.request_memory));
+        self.response_memory.set(count(values.response_memory));
     }
 }
--- a/crates/oleanderpost-serving/src/peer_relay.rs
+++ b/crates/oleanderpost-serving/src/peer_relay.rs
@@ -5,11 +5,7 @@
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
-use hyper::{
-    body::Incoming,
-    client::conn::http1::{self, SendRequest},
-};
-use hyper_util::rt::TokioIo;
+use hyper::{body::Incoming, client::conn::http1::SendRequest};
 use tokio::{
     net::TcpStream,
     sync::mpsc,
@@ -18,14 +14,14 @@
 
 use crate::{
     Attempts, EntryContext, Rejection, ResponseAborted, ResponseBody, RunStatus,
-    admitted_request::AdmittedRequest, in_progress_guard::InProgressGuard,
-    upstream_response::caller_response,
+    admitted_request::AdmittedRequest, client_connection::handshake,
+    in_progress_guard::InProgressGuard, upstream_response::caller_response,
 };
 
 /// Timeout for connecting to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Number of chunks of a response buffered for a slow caller.
-const CHUNK_BUFFER_LEN: usize = 32;
+/// Number of chunks of a response buffered for a slow caller. Each may be as large as the connection's read buffer.
+const CHUNK_BUFFER_LEN: usize = 1;
 
 /// Error of one attempt to relay a request.
 struct RelayError {
@@ -103,9 +99,7 @@
         let stream = timeout_at(connect_deadline, TcpStream::connect(peer)).await;
         let stream = stream.map_err(|e| not_run(&e))?.map_err(|e| not_run(&e))?;
         stream.set_nodelay(true).map_err(|e| not_run(&e))?;
-        let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|e| not_run(&e))?;
+        let (mut sender, connection) = handshake(stream).await.map_err(|e| not_run(&e))?;
         tokio::spawn(async move {
             if let Err(e) = connection.await {
                 spdlog::debug!("relay connection closed with an error", kv: { peer: = peer, error: = e });
--- a/crates/oleanderpost-serving/src/request_handler.rs
+++ b/crates/oleanderpost-serving/src/request_handler.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -13,8 +13,9 @@
 
 use crate::{
     Attempts, BootTime, EntryContext, Rejection, RequestId, ResponseBody, Route, ServingConfig,
-    admitted_request::AdmittedRequest, body_budget::BodyAllocation, buffered_proxy::BufferedProxy,
-    dispatch_status::DispatchStatus, in_progress_guard::InProgressGuard, peer_relay::PeerRelay,
+    admitted_request::AdmittedRequest, buffered_proxy::BufferedProxy,
+    dispatch_status::DispatchStatus, in_progress_guard::InProgressGuard,
+    memory_budget::OutOfMemory, metered_buf::MeteredBuf, peer_relay::PeerRelay,
     stream_proxy::StreamProxy,
 };
 
@@ -142,12 +143,11 @@
             .select_service(request_hash(&head.id))
             .cloned()
             .ok_or(Rejection::NotReady)?;
-        let (body, allocation) = self.read_body(&config, route, head.deadline, body).await?;
+        let body = self.read_body(&config, route, head.deadline, body).await?;
         Ok(AdmittedRequest {
             head,
             parts: Arc::clone(parts),
             body,
-            _body_allocation: allocation,
             route: Arc::clone(route),
             account,
             service,
@@ -166,35 +166,18 @@
         route: &Route,
         deadline: Option<Duration>,
         body: Incoming,
-    ) -> Result<(Bytes, BodyAllocation), Rejection> {
+    ) -> Result<Bytes, Rejection> {
         let time_limit = MAX_BODY_TIME
             .min(route.timeout)
             .min(deadline.unwrap_or(MAX_BODY_TIME));
         let max_bytes = config.caller_limits().body_bytes;
-        let collected = timeout(time_limit, self.collect_body(Limited::new(body, max_bytes)));
-        collected.await.map_err(|_| Rejection::SlowCaller)?
-    }
-
-    async fn collect_body(
-        &self,
-        mut body: Limited<Incoming>,
-    ) -> Result<(Bytes, BodyAllocation), Rejection> {
-        let mut allocation = self.entry.body_budget.allocation();
-        let mut buf = BytesMut::new();
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|e| match e.is::<LengthLimitError>() {
-                true => Rejection::TooLarge,
-                false => Rejection::Malformed("the body broke off"),
-            })?;
-            let Ok(bytes) = frame.into_data() else {
-                continue;
-            };
-            if !allocation.try_grow(bytes.len()) {
-                return Err(Rejection::Busy(MEMORY_RETRY_AFTER));
-            }
-            buf.extend_from_slice(&bytes);
+        let buf = MeteredBuf::new(&self.entry.request_memory, &());
+        let revoked = buf.revocation();
+        let collected = collect_body(Limited::new(body, max_bytes), buf);
+        tokio::select! {
+            collected = timeout(time_limit, collected) => collected.map_err(|_| Rejection::SlowCaller)?,
+            () = revoked.cancelled() => Err(OutOfMemory.into()),
         }
-        Ok((buf.freeze(), allocation))
     }
 
     /// Rejects a request that crashes upstreams, and logs which one.
@@ -272,6 +255,28 @@
     }
 }
 
+async fn collect_body(
+    mut body: Limited<Incoming>,
+    mut buf: MeteredBuf<()>,
+) -> Result<Bytes, Rejection> {
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| match e.is::<LengthLimitError>() {
+            true => Rejection::TooLarge,
+            false => Rejection::Malformed("the body broke off"),
+        })?;
+        if let Ok(bytes) = frame.into_data() {
+            buf.push(&bytes)?;
+        }
+    }
+    Ok(buf.freeze()?)
+}
+
+impl From<OutOfMemory> for Rejection {
+    fn from(_: OutOfMemory) -> Self {
+        Self::Busy(MEMORY_RETRY_AFTER)
+    }
+}
+
 /// Hash of the request identifier, which selects the service of a route with weights.
 fn request_hash(id: &RequestId) -> u32 {
     // FNV-1a (Fowler, Noll, Vo), 32 bits. Identifiers are random, so any hash function with an even spread
--- a/crates/oleanderpost-serving/src/stream_proxy.rs
+++ b/crates/oleanderpost-serving/src/stream_proxy.rs
@@ -4,16 +4,14 @@
 
 use bytes::Bytes;
 use http::{Response, StatusCode, response::Parts};
-use tokio::{
-    sync::mpsc,
-    time::{Instant, timeout},
-};
+use tokio::time::{Instant, timeout};
 
 use crate::{
-    AttemptError, AttemptHeaders, Attempts, EntryContext, Event, Rejection, ResponseAborted,
-    ResponseBody, ResponseHead, RunStatus, UpstreamId, WorkEnd,
+    AttemptError, AttemptHeaders, Attempts, EntryContext, Event, Rejection, ResponseBody,
+    ResponseHead, RunStatus, UpstreamId, WorkEnd,
     admitted_request::AdmittedRequest,
     engine_finder::{DEFAULT_RETRY_AFTER, EngineFinder, PlacementError},
+    event_queue::EventQueue,
     event_reader::{EventError, EventReader, StreamItem},
     in_progress_guard::InProgressGuard,
     peer_relay::PeerRelay,
@@ -23,9 +21,6 @@
     upstream_response::{CLOSED_AFTER_HEAD, UpstreamResponse, caller_response},
 };
 
-/// Number of events buffered for a slow caller. While the buffer is full, the engine's connection is not
-/// read.
-const EVENT_BUFFER_LEN: usize = 32;
 /// Timeout for the first event, as a multiple of the expected time to the first event.
 const FIRST_EVENT_TIMEOUT_FACTOR: f64 = 2.0;
 /// Time added to that timeout, in milliseconds.
@@ -43,9 +38,6 @@
     head: ResponseHead,
 }
 
-/// Sender of the chunks of a streamed response body.
-type BodySender = mpsc::Sender<Result<Option<Bytes>, ResponseAborted>>;
-
 /// Result of an attempt before its first event is forwarded.
 enum AttemptOutcome {
     /// An open stream and its first event.
@@ -221,9 +213,8 @@
             }
         };
         if response.parts.status != StatusCode::OK {
-            let collected = response
-                .collect(&self.entry.client.pool, self.request.time_left())
-                .await;
+            let time_left = time_limit.saturating_sub(started.elapsed());
+            let collected = response.collect(&self.entry.client, time_left).await;
             placement.close(WorkEnd::Failed);
             let (parts, body) = collected.map_err(|e| e.into_attempt_error(&upstream.id))?;
             return Ok(AttemptOutcome::Response(parts, body));
@@ -235,7 +226,8 @@
             body,
             connection,
         } = response;
-        let mut reader = EventReader::new(body);
+        let memory = self.entry.client.response_memory.allocation(&upstream.id);
+        let mut reader = EventReader::new(body, memory);
         let first_item = tokio::select! {
             first_item = reader.next_event(time_limit.saturating_sub(started.elapsed())) => first_item,
             () = placement.reservation_lost() => Err(EventError::EngineLost),
@@ -314,47 +306,41 @@
             self.request.head.prompt_tokens,
             self.request.elapsed(),
         );
-        let (body_sender, body_receiver) = mpsc::channel(EVENT_BUFFER_LEN);
-        tokio::spawn(self.relay(stream, first_item, body_sender));
+        let (queue, body_receiver) = EventQueue::new(&self.entry.client.response_memory);
+        tokio::spawn(self.relay(stream, first_item, queue));
         caller_response(parts, ResponseBody::Streamed(body_receiver))
     }
 
-    async fn relay(
-        mut self,
-        stream: UpstreamStream,
-        first_item: StreamItem,
-        body_sender: BodySender,
-    ) {
+    async fn relay(mut self, stream: UpstreamStream, first_item: StreamItem, queue: EventQueue) {
         let mut stream = stream;
         let mut next = Ok(first_item);
         loop {
             let (end, cause) = match next {
-                Ok(StreamItem::Event(event)) => match self.forward_event(event, &body_sender).await
-                {
-                    ForwardResult::Forwarded => {
-                        next = tokio::select! {
-                            biased;
-                            next = self.next_event(&mut stream) => next,
-                            () = body_sender.closed() => return self.cancel(stream),
-                        };
-                        continue;
+                Ok(StreamItem::Event(event)) => {
+                    match self.forward_event(event, &stream, &queue).await {
+                        ForwardResult::Forwarded => {
+                            next = tokio::select! {
+                                biased;
+                                next = self.next_event(&mut stream) => next,
+                                () = queue.closed() => return self.cancel(stream),
+                            };
+                            continue;
+                        }
+                        ForwardResult::CallerGone => return self.cancel(stream),
+                        ForwardResult::OutOfOrder => {
+                            (WorkEnd::Failed, "an event is missing".to_owned())
+                        }
                     }
-                    ForwardResult::CallerGone => return self.cancel(stream),
-                    ForwardResult::OutOfOrder => {
-                        (WorkEnd::Failed, "an event is missing".to_owned())
-                    }
-                },
-                Ok(StreamItem::End) => return self.finish(stream, &body_sender).await,
+                }
+                Ok(StreamItem::End) => return self.finish(stream, queue).await,
                 Err(e) => (e.work_end(), e.to_string()),
             };
             let resumed = tokio::select! {
                 resumed = self.resume(stream, end, cause) => resumed,
-                () = body_sender.closed() => return,
+                () = queue.closed() => return,
             };
             let Some((resumed_stream, first_item)) = resumed else {
-                // Fails only if the caller has disconnected.
-                let _ = body_sender.send(Err(ResponseAborted)).await;
-                return;
+                return queue.abort().await;
             };
             stream = resumed_stream;
             next = Ok(first_item);
@@ -362,19 +348,21 @@
     }
 
     /// Forwards an event, unless the caller has received it already.
-    async fn forward_event(&mut self, event: Event, body_sender: &BodySender) -> ForwardResult {
+    async fn forward_event(
+        &mut self,
+        event: Event,
+        stream: &UpstreamStream,
+        queue: &EventQueue,
+    ) -> ForwardResult {
         match (event.id, self.last_event_id) {
             (Some(id), Some(last)) if id <= last => return ForwardResult::Forwarded,
             (Some(id), Some(last)) if id > last + 1 => return ForwardResult::OutOfOrder,
             (None, _) => self.all_events_numbered = false,
             _ => {}
         }
-        match timeout(
-            self.request.time_left(),
-            body_sender.send(Ok(Some(event.bytes))),
-        )
-        .await
-        {
+        let upstream = &stream.placement.upstream.id;
+        let queued = queue.push(event.bytes, upstream);
+        match timeout(self.request.time_left(), queued).await {
             Ok(Ok(())) => {
                 self.entry.reach.note_response();
                 self.last_event_id = event.id.or(self.last_event_id);
@@ -499,7 +487,7 @@
         }
     }
 
-    async fn finish(self, stream: UpstreamStream, body_sender: &BodySender) {
+    async fn finish(self, stream: UpstreamStream, queue: EventQueue) {
         self.entry.note_sound(&self.request);
         let UpstreamStream {
             placement,
@@ -516,7 +504,7 @@
             .observe_response(&self.request.route.name, self.request.elapsed());
         self.log_end("answered", 200);
         // Fails only if the caller has disconnected or does not read.
-        let _ = timeout(self.request.time_left(), body_sender.send(Ok(None))).await;
+        let _ = timeout(self.request.time_left(), queue.finish()).await;
     }
 
     fn cancel(self, stream: UpstreamStream) {
--- a/crates/oleanderpost-serving/src/upstream_client.rs
+++ b/crates/oleanderpost-serving/src/upstream_client.rs
@@ -4,12 +4,15 @@
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use tokio::time::timeout;
 
 use crate::{
     AttemptError, AttemptHeaders, BootTime, NodeState, RunStatus, Upstream, UpstreamCodec,
+    UpstreamId,
     admitted_request::AdmittedRequest,
+    body_reader::discard_body,
+    memory_budget::MemoryBudget,
     upstream_pool::{UpstreamConnection, UpstreamPool},
     upstream_reach::UpstreamReach,
     upstream_response::UpstreamResponse,
@@ -37,6 +40,8 @@
 /// Sends requests to upstreams.
 pub(crate) struct UpstreamClient {
     pub(crate) pool: Arc<UpstreamPool>,
+    /// Memory for responses that are being received or passed on, by upstream.
+    pub(crate) response_memory: Arc<MemoryBudget<UpstreamId>>,
     codec: Arc<dyn UpstreamCodec>,
     state: Arc<NodeState>,
     reach: Arc<UpstreamReach>,
@@ -47,9 +52,11 @@
         codec: Arc<dyn UpstreamCodec>,
         state: Arc<NodeState>,
         reach: Arc<UpstreamReach>,
+        response_memory: Arc<MemoryBudget<UpstreamId>>,
     ) -> Self {
         Self {
             pool: UpstreamPool::new(),
+            response_memory,
             codec,
             state,
             reach,
@@ -258,8 +265,8 @@
         }
         let pool = Arc::clone(&self.pool);
         tokio::spawn(async move {
-            let body = Limited::new(body, MAX_DISCARDED_BYTES);
-            if let Ok(Ok(_)) = timeout(DISCARD_TIMEOUT, body.collect()).await {
+            let discarded = discard_body(body, MAX_DISCARDED_BYTES);
+            if let Ok(Ok(())) = timeout(DISCARD_TIMEOUT, discarded).await {
                 pool.release(connection, head.keep_alive);
             }
         });
--- a/crates/oleanderpost-serving/src/upstream_pool.rs
+++ b/crates/oleanderpost-serving/src/upstream_pool.rs
@@ -11,13 +11,12 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
-use hyper_util::rt::TokioIo;
 use tokio::{
     net::TcpSocket,
     time::{Instant, timeout},
 };
 
-use crate::{Upstream, UpstreamId};
+use crate::{Upstream, UpstreamId, client_connection::handshake};
 
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
@@ -40,7 +39,7 @@
 pub(crate) struct UpstreamConnection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
     pub(crate) reused: bool,
-    id: UpstreamId,
+    pub(crate) id: UpstreamId,
     address: SocketAddr,
 }
 
@@ -177,8 +176,7 @@
     };
     socket.set_nodelay(true)?;
     let stream = socket.connect(address).await?;
-    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
-    let (sender, connection) = handshake.map_err(io::Error::other)?;
+    let (sender, connection) = handshake(stream).await.map_err(io::Error::other)?;
     tokio::spawn(async move {
         if let Err(e) = connection.await {
             spdlog::debug!("upstream connection closed with an error", kv: { address: = address, error: = e });
--- a/crates/oleanderpost-serving/tests/request_path.rs
+++ b/crates/oleanderpost-serving/tests/request_path.rs
@@ -1,6 +1,9 @@
 //! Unit tests of the request path: retries, evidence, routes, upstream directory, event streams and settings.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use oleanderpost_serving::{
     Account, AccountName, Attempts, BootTime, DataCentreName, Event, EventSplitter, Evidence,
@@ -271,6 +274,21 @@
     assert_eq!(splitter.buffered_len(), 14);
 }
 
+/// Guards against a search of the whole event after each piece, which takes all processor time of a node.
+#[test]
+fn event_that_arrives_byte_by_byte_is_searched_once() {
+    let started_at = Instant::now();
+    let mut splitter = EventSplitter::default();
+    for _ in 0..100_000 {
+        splitter.push(b"x");
+        assert_eq!(splitter.next_event(), None);
+    }
+    splitter.push(b"\n\n");
+    let event = splitter.next_event().expect("an event");
+    assert_eq!(event.bytes.len(), 100_002);
+    assert!(started_at.elapsed() < Duration::from_secs(1));
+}
+
 #[test]
 fn all_invalid_settings_are_reported_together() {
     let text = "name: n\ndata_centre: ''\ncallers_listen: 127.0.0.1:1\nadmin_listen: 127.0.0.1:2\n\
