Bound responses that the older interface reads

Bodies are read into one buffer, JSON of up to 16 MiB, plain responses of up to 8 MiB, events of up to 1 MiB. No test of its own: found by reading; its tests pass.

--- a/crates/oleanderpostd/src/connection.rs
+++ b/crates/oleanderpostd/src/connection.rs
@@ -3,17 +3,17 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
-use hyper_util::rt::TokioIo;
+use oleanderpost_serving::{handshake, read_body};
 use serde::de::DeserializeOwned;
 use tokio::{net::TcpStream, time::timeout};
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::{Error, Result};
 
-/// Maximum size of a JSON response, in bytes.
-const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
+/// Maximum size of a JSON response, in bytes: all files of a fleet.
+const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
 /// HTTP connection to a peer, used for one exchange.
 ///
@@ -44,7 +44,7 @@
         stream
             .set_nodelay(true)
             .map_err(|e| connect_error(e.to_string()))?;
-        let (sender, conn) = http1::handshake(TokioIo::new(stream))
+        let (sender, conn) = handshake(stream)
             .await
             .map_err(|e| connect_error(e.to_string()))?;
         let driver = tokio::spawn(async move {
@@ -119,10 +119,7 @@
         peer: peer.to_owned(),
         detail,
     };
-    let body = Limited::new(res.into_body(), MAX_RESPONSE_BYTES);
-    let collected = body
-        .collect()
-        .await
-        .map_err(|e| exchange_error(e.to_string()))?;
-    serde_json::from_slice(&collected.to_bytes()).map_err(|e| exchange_error(e.to_string()))
+    let body = read_body(res.into_body(), MAX_RESPONSE_BYTES).await;
+    let body = body.map_err(|e| exchange_error(e.to_string()))?;
+    serde_json::from_slice(&body).map_err(|e| exchange_error(e.to_string()))
 }
--- a/crates/oleanderpostd/src/event_reader.rs
+++ b/crates/oleanderpostd/src/event_reader.rs
@@ -1,6 +1,12 @@
 //! [`EventReader`].
 
-use std::pin::Pin;
+use std::{
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
 
 use bytes::Bytes;
 use eventsource_stream::{Event, Eventsource};
@@ -17,6 +23,9 @@
 
 const STEP: &str = "read events";
 
+/// Largest size of one event, in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
 type EventStream = Pin<Box<dyn Stream<Item = Result<Event, String>> + Send>>;
 type ResponseHead = (Response<Incoming>, AbortOnDropHandle<()>);
 
@@ -93,8 +102,21 @@
 async fn open_events(peer: &str, res: Response<Incoming>) -> Result<EventStream> {
     match res.status() {
         StatusCode::OK => {
-            let chunks = res.into_body().into_data_stream();
-            let events = chunks.eventsource().map(|e| e.map_err(|e| e.to_string()));
+            // The parser buffers an event until it is complete.
+            let bytes_since_event = Arc::new(AtomicUsize::new(0));
+            let received = Arc::clone(&bytes_since_event);
+            let chunks = res.into_body().into_data_stream().map(move |chunk| {
+                let chunk = chunk.map_err(|e| e.to_string())?;
+                let bytes = received.fetch_add(chunk.len(), Ordering::Relaxed) + chunk.len();
+                if bytes > MAX_EVENT_BYTES {
+                    return Err("event exceeds the size limit".to_owned());
+                }
+                Ok(chunk)
+            });
+            let events = chunks.eventsource().map(move |event| {
+                bytes_since_event.store(0, Ordering::Relaxed);
+                event.map_err(|e| e.to_string())
+            });
             Ok(Box::pin(events))
         }
         StatusCode::SERVICE_UNAVAILABLE => {
--- a/crates/oleanderpostd/src/plain_client.rs
+++ b/crates/oleanderpostd/src/plain_client.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{Request, header::HOST};
 use oleanderpost::types::{Attempt, Problem, header};
+use oleanderpost_serving::read_body;
 
 use crate::{
     Call, Connection, Error, PlainRequest, PlainResponse, Result, UpstreamAddress,
@@ -14,7 +15,7 @@
 const STEP: &str = "plain call";
 
 /// Maximum size of a plain service's response body, in bytes.
-const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
 /// HTTP client for plain services. Each exchange uses a new connection.
 #[derive(Clone, Debug)]
@@ -49,11 +50,11 @@
         let request = build_request(to, call, attempt, req)?;
         let (res, _driver) = conn.send(STEP, request).await?;
         let (parts, body) = res.into_parts();
-        let collected = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+        let body = read_body(body, MAX_RESPONSE_BYTES).await;
         let response = PlainResponse {
             status: parts.status,
             headers: forwarded_headers::to_caller(&parts.headers),
-            body: collected.map_err(|e| exchange_error(to, &e))?.to_bytes(),
+            body: body.map_err(|e| exchange_error(to, &e))?,
         };
         match not_run_problem(&response) {
             Some(problem) => Err(Error::Refused {
