Take the reset of a request that is being sent for a broken answer

Callers saw (other operators, and here): an upstream answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written; the caller got the part as whole.

Cause: the operating system reports a reset once, to the read or write that comes first. If a write gets it, or if the upstream ends its own direction before the reset, the next read sees an end of the data, which ends an answer without a length.

Change: connections on which the node sends requests report an end of the data as an error while the last write was refused or taken in part only. What the operating system has taken and the upstream has not read is not covered: an upstream that ends its own direction while the rest of the request is in such buffers still looks like one that is done.

--- a/crates/oleanderpost-serving/src/client_connection.rs
+++ b/crates/oleanderpost-serving/src/client_connection.rs
@@ -8,6 +8,8 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
+use crate::request_stream::RequestStream;
+
 /// Size of the read buffer of a connection, in bytes; a longer head of a response is an error. Usual limits of servers
 /// are 8 to 16 KiB.
 pub(crate) const READ_BUFFER_BYTES: usize = 16 << 10;
@@ -19,13 +21,13 @@
 /// Error if the connection has failed.
 pub async fn handshake<B>(
     stream: TcpStream,
-) -> hyper::Result<(SendRequest<B>, Connection<TokioIo<TcpStream>, B>)>
+) -> hyper::Result<(SendRequest<B>, Connection<TokioIo<RequestStream>, B>)>
 where
     B: Body<Data = Bytes> + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     Builder::new()
         .max_buf_size(READ_BUFFER_BYTES)
-        .handshake(TokioIo::new(stream))
+        .handshake(TokioIo::new(RequestStream::new(stream)))
         .await
 }
--- a/crates/oleanderpost-serving/src/lib.rs
+++ b/crates/oleanderpost-serving/src/lib.rs
@@ -105,6 +105,7 @@
 mod request_limiter;
 mod request_quarantine;
 mod request_rate;
+mod request_stream;
 mod request_verdicts;
 mod reservations;
 mod response_body;
@@ -204,6 +205,7 @@
     request_limiter::RequestLimiter,
     request_quarantine::RequestQuarantine,
     request_rate::{InvalidRate, RequestRate},
+    request_stream::RequestStream,
     request_verdicts::RequestVerdicts,
     response_body::{ResponseAborted, ResponseBody},
     response_head::{ResponseHead, UpstreamLoad},
