Do not pass on status codes that no answer has

The status of every response was passed on if its head could be parsed. Codes outside 200 to 599 now count as a failed attempt that may have run, like a server error (RFC 9110, section 15): the request is repeated where its route allows, and gets 502 otherwise. The same in the older interface.

--- a/crates/oleanderpost-serving/src/client_connection.rs
+++ b/crates/oleanderpost-serving/src/client_connection.rs
@@ -1,6 +1,7 @@
 //! Connections on which the node sends requests.
 
 use bytes::Bytes;
+use http::StatusCode;
 use hyper::{
     body::Body,
     client::conn::http1::{Builder, Connection, SendRequest},
@@ -31,3 +32,10 @@
         .handshake(TokioIo::new(RequestStream::new(stream)))
         .await
 }
+
+/// Whether a response with this status code answers a request. Codes out of range count as a server error (RFC 9110, section
+/// 15), and the node never sends the requests for another protocol to which 101 is the response.
+#[must_use]
+pub fn is_final_status(status: StatusCode) -> bool {
+    (200..=599).contains(&status.as_u16())
+}
--- a/crates/oleanderpost-serving/src/lib.rs
+++ b/crates/oleanderpost-serving/src/lib.rs
@@ -160,7 +160,7 @@
     boot_time::BootTime,
     caller_limits::CallerLimits,
     caller_server::CallerServer,
-    client_connection::handshake,
+    client_connection::{handshake, is_final_status},
     cold_limit::ColdLimit,
     cold_times::MAX_COLD_TIME,
     cold_upstream::ColdUpstream,
--- a/crates/oleanderpost-serving/src/upstream_client.rs
+++ b/crates/oleanderpost-serving/src/upstream_client.rs
@@ -12,6 +12,7 @@
     UpstreamId,
     admitted_request::AdmittedRequest,
     body_reader::discard_body,
+    client_connection::is_final_status,
     memory_budget::MemoryBudget,
     upstream_pool::{UpstreamConnection, UpstreamPool},
     upstream_reach::UpstreamReach,
@@ -218,7 +219,16 @@
                 "response to another request",
             ));
         }
-        if response.parts.status.is_success() && !head.has_origin_proof {
+        let status = response.parts.status;
+        if !is_final_status(status) {
+            return Err(AttemptError::new(
+                "await answer",
+                &upstream.id,
+                RunStatus::MayHaveRun,
+                format!("{status} is not the status of an answer"),
+            ));
+        }
+        if status.is_success() && !head.has_origin_proof {
             return Err(AttemptError::new(
                 "await answer",
                 &upstream.id,
@@ -237,7 +247,7 @@
         }
         self.state.note_response(upstream, head, sent_at);
         if head.not_run {
-            let (status, closes) = (response.parts.status, head.closes_connection);
+            let closes = head.closes_connection;
             // The next request would wait behind a long body that the upstream has not read.
             if request.body.len() <= MAX_UNREAD_BYTES {
                 self.discard(response);
--- a/crates/oleanderpostd/src/plain_client.rs
+++ b/crates/oleanderpostd/src/plain_client.rs
@@ -5,7 +5,7 @@
 use http_body_util::Full;
 use hyper::{Request, header::HOST};
 use oleanderpost::types::{Attempt, Problem, header};
-use oleanderpost_serving::read_body;
+use oleanderpost_serving::{is_final_status, read_body};
 
 use crate::{
     Call, Connection, Error, PlainRequest, PlainResponse, Result, UpstreamAddress,
@@ -50,6 +50,9 @@
         let request = build_request(to, call, attempt, req)?;
         let (res, _driver) = conn.send(STEP, request).await?;
         let (parts, body) = res.into_parts();
+        if !is_final_status(parts.status) {
+            return Err(exchange_error(to, &"not the status of an answer"));
+        }
         let body = read_body(body, MAX_RESPONSE_BYTES).await;
         let response = PlainResponse {
             status: parts.status,
