--- a/crates/oleanderpost-peers/tests/link_faults.rs
+++ b/crates/oleanderpost-peers/tests/link_faults.rs
@@ -338,6 +338,29 @@
     assert_eq!(b.links.counters().dialled, 1);
 }
 
+/// Guards against small messages that are held without a limit on their bytes while they are handled.
+#[tokio::test]
+async fn small_messages_beyond_the_byte_limit_are_refused_as_busy() {
+    let mut builder = NodeBuilder::new("a");
+    builder.limits = LinkLimits {
+        max_received_bytes: 64 << 10,
+        ..LinkLimits::default()
+    };
+    let a = builder.open().await;
+    let b = NodeBuilder::new("b").open().await;
+    b.add_address_of(&a);
+    let slow = (0..20).map(|_| {
+        let text = "x".repeat(10 << 10);
+        let msg = Msg::SlowText { millis: 500, text };
+        b.links.request(&a.vm, msg, LONG)
+    });
+    let answers = futures_util::future::join_all(slow).await;
+    let busy = answers
+        .iter()
+        .filter(|answer| matches!(answer, Err(Error::Busy { .. })));
+    assert_eq!((busy.count(), handled(&a)), (14, 6));
+}
+
 #[tokio::test]
 async fn a_peer_that_does_not_read_uses_bounded_memory() {
     let mut builder = NodeBuilder::new("a");
--- a/crates/oleanderpost-peers/tests/support/mod.rs
+++ b/crates/oleanderpost-peers/tests/support/mod.rs
@@ -32,6 +32,7 @@
 pub enum Msg {
     Echo(String),
     Slow { millis: u64 },
+    SlowText { millis: u64, text: String },
     Silent,
     Big(#[serde(with = "byte_string")] Vec<u8>),
     Note(u64),
@@ -54,7 +55,7 @@
     fn kind(&self) -> &'static str {
         match self {
             Self::Echo(_) => "echo",
-            Self::Slow { .. } => "slow",
+            Self::Slow { .. } | Self::SlowText { .. } => "slow",
             Self::Silent => "silent",
             Self::Big(_) => "big",
             Self::Note(_) => "note",
@@ -74,7 +75,9 @@
     async fn handle(&self, _from: &VmId, msg: Msg) -> Option<Msg> {
         self.handled.fetch_add(1, Ordering::Relaxed);
         match msg {
-            Msg::Slow { millis } => sleep(Duration::from_millis(millis)).await,
+            Msg::Slow { millis } | Msg::SlowText { millis, .. } => {
+                sleep(Duration::from_millis(millis)).await
+            }
             Msg::Silent => return None,
             Msg::Note(n) | Msg::Counted(n, _) => self.notes.lock().unwrap().push(n),
             _ => {}
