Close connections whose request has ended

Callers saw: requests rejected with 503 for lack of memory after others had timed out at an upstream that sends a part of its answer, reads no more and keeps the connection. Cause: the task of the connection went on waiting to write the rest of the request, and kept its body (and a descriptor) as long as the upstream liked; before the memory of bodies was counted until it is free, it was just used.

A connection is now closed when it is dropped. One type for this, ClientConnection, serves upstreams, peers, orders, the store and the older interface.

--- a/crates/oleanderpost-serving/src/peer_relay.rs
+++ b/crates/oleanderpost-serving/src/peer_relay.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     Attempts, EntryContext, Rejection, ResponseAborted, ResponseBody, RunStatus,
-    admitted_request::AdmittedRequest, client_connection::handshake,
+    admitted_request::AdmittedRequest, client_connection::ClientConnection,
     in_progress_guard::InProgressGuard, upstream_response::caller_response,
 };
 
@@ -99,12 +99,9 @@
         let stream = timeout_at(connect_deadline, TcpStream::connect(peer)).await;
         let stream = stream.map_err(|e| not_run(&e))?.map_err(|e| not_run(&e))?;
         stream.set_nodelay(true).map_err(|e| not_run(&e))?;
-        let (mut sender, connection) = handshake(stream).await.map_err(|e| not_run(&e))?;
-        tokio::spawn(async move {
-            if let Err(e) = connection.await {
-                spdlog::debug!("relay connection closed with an error", kv: { peer: = peer, error: = e });
-            }
-        });
+        let mut connection = ClientConnection::new(stream)
+            .await
+            .map_err(|e| not_run(&e))?;
         // The process may have been suspended since the last check.
         let time_left = self.entry.time_left(request);
         if time_left.is_zero() {
@@ -115,7 +112,7 @@
                 .codec
                 .build_relayed_request(&request.parts, time_left, request.body.clone());
         request.dispatch.begin_attempt();
-        let resp = exchange(&mut sender, relayed, deadline).await;
+        let resp = exchange(&mut connection.sender, relayed, deadline).await;
         let resp = resp.inspect_err(|e| request.dispatch.end_failed_attempt(e.ran))?;
         self.log_relayed(request, peer, resp.status());
         let (parts, body) = resp.into_parts();
@@ -123,8 +120,8 @@
         let guard = InProgressGuard::new(Arc::clone(&self.entry));
         tokio::spawn(async move {
             let _guard = guard;
-            // Keeps the connection open until the response is complete.
-            let _sender = sender;
+            // Stays open until the response is complete.
+            let _connection = connection;
             tokio::select! {
                 () = copy_body(body, &tx, deadline) => {}
                 () = tx.closed() => {}
--- a/crates/oleanderpost-serving/src/request_stream.rs
+++ b/crates/oleanderpost-serving/src/request_stream.rs
@@ -17,7 +17,7 @@
 /// read or the write that comes first, and an end of the data from then on. An answer without a length would
 /// look whole, so that an end of the data before the request is sent, or after a failed write, is an error here.
 #[derive(Debug)]
-pub struct RequestStream {
+pub(crate) struct RequestStream {
     stream: TcpStream,
     /// Whether the operating system has not accepted all data so far, or has refused some.
     is_unsent: bool,
--- a/crates/oleanderpost-serving/src/upstream_client.rs
+++ b/crates/oleanderpost-serving/src/upstream_client.rs
@@ -113,7 +113,11 @@
     ) -> Result<UpstreamResponse, AttemptError> {
         let sent_at = BootTime::now();
         let waiting = self.reach.wait();
-        let sent = timeout(time_limit, connection.sender.send_request(upstream_request)).await;
+        let sent = timeout(
+            time_limit,
+            connection.sender().send_request(upstream_request),
+        )
+        .await;
         drop(waiting);
         let sent = sent.map_err(|_| {
             AttemptError::new(
--- a/crates/oleanderpost-serving/src/upstream_pool.rs
+++ b/crates/oleanderpost-serving/src/upstream_pool.rs
@@ -16,7 +16,7 @@
     time::{Instant, timeout},
 };
 
-use crate::{Upstream, UpstreamId, client_connection::handshake};
+use crate::{Upstream, UpstreamId, client_connection::ClientConnection};
 
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
@@ -37,12 +37,22 @@
 
 /// Connection to an upstream that is ready for a request.
 pub(crate) struct UpstreamConnection {
-    pub(crate) sender: SendRequest<Full<Bytes>>,
+    connection: ClientConnection<Full<Bytes>>,
     pub(crate) reused: bool,
     pub(crate) id: UpstreamId,
     address: SocketAddr,
 }
 
+impl UpstreamConnection {
+    pub(crate) fn sender(&mut self) -> &mut SendRequest<Full<Bytes>> {
+        &mut self.connection.sender
+    }
+
+    fn is_closed(&self) -> bool {
+        self.connection.sender.is_closed()
+    }
+}
+
 struct IdleConnection {
     connection: UpstreamConnection,
     expires_at: Instant,
@@ -79,7 +89,7 @@
             // Lets the connection's task process a close or data that has arrived since the last use.
             tokio::task::yield_now().await;
             // An upstream that has answered early may not have read the last request yet.
-            let ready = timeout(READY_TIMEOUT, connection.sender.ready()).await;
+            let ready = timeout(READY_TIMEOUT, connection.sender().ready()).await;
             if matches!(ready, Ok(Ok(()))) {
                 connection.reused = true;
                 return Ok(connection);
@@ -98,7 +108,7 @@
 
     /// Returns a connection to the pool after its response has been read completely.
     pub(crate) fn release(&self, connection: UpstreamConnection, keep_alive: Option<Duration>) {
-        if connection.sender.is_closed() {
+        if connection.is_closed() {
             return;
         }
         let stated_timeout = keep_alive.map(|span| span.mul_f64(KEEP_ALIVE_SHARE));
@@ -109,9 +119,7 @@
         let idle_limit = lock(&self.idle_limits).get(&connection.id).copied();
         let mut idle = lock(&self.idle);
         let entries = idle.entry(connection.id.clone()).or_default();
-        entries.retain(|entry| {
-            entry.expires_at > Instant::now() && !entry.connection.sender.is_closed()
-        });
+        entries.retain(|entry| entry.expires_at > Instant::now() && !entry.connection.is_closed());
         if entries.len() < idle_limit.unwrap_or(MAX_IDLE) {
             entries.push(IdleConnection {
                 connection,
@@ -141,7 +149,7 @@
         while let Some(entry) = entries.pop() {
             let usable =
                 entry.expires_at > Instant::now() && entry.connection.address == upstream.address;
-            if usable && !entry.connection.sender.is_closed() {
+            if usable && !entry.connection.is_closed() {
                 return Some(entry.connection);
             }
         }
@@ -156,7 +164,7 @@
         let connected = timeout(limit, connect(upstream.address)).await;
         let timed_out = |_| io::Error::new(io::ErrorKind::TimedOut, "timed out while connecting");
         Ok(UpstreamConnection {
-            sender: connected.map_err(timed_out)??,
+            connection: connected.map_err(timed_out)??,
             reused: false,
             id: upstream.id.clone(),
             address: upstream.address,
@@ -168,7 +176,7 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-async fn connect(address: SocketAddr) -> io::Result<SendRequest<Full<Bytes>>> {
+async fn connect(address: SocketAddr) -> io::Result<ClientConnection<Full<Bytes>>> {
     let socket = if address.is_ipv4() {
         TcpSocket::new_v4()?
     } else {
@@ -176,11 +184,7 @@
     };
     socket.set_nodelay(true)?;
     let stream = socket.connect(address).await?;
-    let (sender, connection) = handshake(stream).await.map_err(io::Error::other)?;
-    tokio::spawn(async move {
-        if let Err(e) = connection.await {
-            spdlog::debug!("upstream connection closed with an error", kv: { address: = address, error: = e });
-        }
-    });
-    Ok(sender)
+    ClientConnection::new(stream)
+        .await
+        .map_err(io::Error::other)
 }
--- a/crates/oleanderpostd/src/connection.rs
+++ b/crates/oleanderpostd/src/connection.rs
@@ -4,11 +4,10 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, Response, body::Incoming, client::conn::http1};
-use oleanderpost_serving::{handshake, read_body};
+use hyper::{Request, Response, body::Incoming};
+use oleanderpost_serving::{ClientConnection, read_body};
 use serde::de::DeserializeOwned;
 use tokio::{net::TcpStream, time::timeout};
-use tokio_util::task::AbortOnDropHandle;
 
 use crate::{Error, Result};
 
@@ -21,8 +20,7 @@
 /// would be unknown whether the peer received the request. Dropping the value closes the connection.
 pub(crate) struct Connection {
     peer: String,
-    sender: http1::SendRequest<Full<Bytes>>,
-    driver: AbortOnDropHandle<()>,
+    conn: ClientConnection<Full<Bytes>>,
 }
 
 impl Connection {
@@ -44,35 +42,28 @@
         stream
             .set_nodelay(true)
             .map_err(|e| connect_error(e.to_string()))?;
-        let (sender, conn) = handshake(stream)
-            .await
-            .map_err(|e| connect_error(e.to_string()))?;
-        let driver = tokio::spawn(async move {
-            // Errors are reported by the sender or while the response body is read.
-            let _ = conn.await;
-        });
+        let conn = ClientConnection::new(stream).await;
         Ok(Self {
             peer: peer.to_owned(),
-            sender,
-            driver: AbortOnDropHandle::new(driver),
+            conn: conn.map_err(|e| connect_error(e.to_string()))?,
         })
     }
 
     /// Sends the request and waits for the head of the response.
     ///
-    /// The body can be read until the returned handle is dropped, which closes the connection.
+    /// The body can be read until the returned connection is dropped, which closes it.
     pub(crate) async fn send(
         mut self,
         step: &'static str,
         req: Request<Full<Bytes>>,
-    ) -> Result<(Response<Incoming>, AbortOnDropHandle<()>)> {
-        let response = self.sender.send_request(req).await;
+    ) -> Result<(Response<Incoming>, ClientConnection<Full<Bytes>>)> {
+        let response = self.conn.sender.send_request(req).await;
         let res = response.map_err(|e| Error::Exchange {
             step,
             peer: self.peer.clone(),
             detail: e.to_string(),
         })?;
-        Ok((res, self.driver))
+        Ok((res, self.conn))
     }
 
     /// Sends the request and reads the whole response as JSON, within `time_limit`.
@@ -84,7 +75,7 @@
     ) -> Result<T> {
         let peer = self.peer.clone();
         let exchange = async {
-            let (res, _driver) = self.send(step, req).await?;
+            let (res, _conn) = self.send(step, req).await?;
             check_status(step, &peer, &res)?;
             read_json(step, &peer, res).await
         };
--- a/crates/oleanderpostd/src/engine_client.rs
+++ b/crates/oleanderpostd/src/engine_client.rs
@@ -195,7 +195,7 @@
             .map_err(|e| request_error(step, to, &e))?;
         let exchange = async {
             let conn = self.open(to).await?;
-            let (res, _driver) = conn.send(step, request).await?;
+            let (res, _conn) = conn.send(step, request).await?;
             match res.status() {
                 status if status.is_success() => Ok(()),
                 // Deleting something that does not exist counts as success.
--- a/crates/oleanderpostd/src/event_reader.rs
+++ b/crates/oleanderpostd/src/event_reader.rs
@@ -17,7 +17,7 @@
     dispatch::{self, StreamConnection},
     types::{Problem, StreamEvent, UpstreamId},
 };
-use tokio_util::task::AbortOnDropHandle;
+use oleanderpost_serving::ClientConnection;
 
 use crate::{Connection, Error, Result, connection::read_json};
 
@@ -27,7 +27,7 @@
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
 type EventStream = Pin<Box<dyn Stream<Item = Result<Event, String>> + Send>>;
-type ResponseHead = (Response<Incoming>, AbortOnDropHandle<()>);
+type ResponseHead = (Response<Incoming>, ClientConnection<Full<Bytes>>);
 
 /// Reader of a streamed response of an engine. Dropping it closes the connection.
 ///
@@ -41,7 +41,7 @@
     Head(BoxFuture<'static, Result<ResponseHead>>),
     Events {
         events: EventStream,
-        _driver: AbortOnDropHandle<()>,
+        _conn: ClientConnection<Full<Bytes>>,
     },
     Ended,
 }
@@ -62,12 +62,12 @@
 
     async fn read(&mut self) -> Result<Option<StreamEvent>> {
         if let State::Head(head) = &mut self.state {
-            let (res, driver) = head.await?;
+            let (res, conn) = head.await?;
             self.state = State::Ended;
             let events = open_events(self.peer.as_str(), res).await?;
             self.state = State::Events {
                 events,
-                _driver: driver,
+                _conn: conn,
             };
         }
         let State::Events { events, .. } = &mut self.state else {
--- a/crates/oleanderpostd/src/plain_client.rs
+++ b/crates/oleanderpostd/src/plain_client.rs
@@ -48,7 +48,7 @@
         req: &PlainRequest,
     ) -> Result<PlainResponse> {
         let request = build_request(to, call, attempt, req)?;
-        let (res, _driver) = conn.send(STEP, request).await?;
+        let (res, _conn) = conn.send(STEP, request).await?;
         let (parts, body) = res.into_parts();
         if !is_final_status(parts.status) {
             return Err(exchange_error(to, &"not the status of an answer"));
