Do not trust a restored store that lacks a configuration of the peers

Cause: a node that has just started has no earlier era, so that its own read counted as evidence although its peers had a newer configuration.

Change: a starting node waits for the first evidence of a peer, 0.4 s at most, before it applies the first response of the store, takes a newer configuration from the peer, and does not count its own reads as evidence while the store shows less than a peer has told of. Without a peer that responds nothing changes: such a node can't know.

--- a/crates/oleanderpost-serving/src/discovery.rs
+++ b/crates/oleanderpost-serving/src/discovery.rs
@@ -56,6 +56,9 @@
 const NEW_ERA_READ_SPREAD: Duration = Duration::from_millis(1_000);
 /// Minimum interval between requests for the full state of a peer.
 const PEER_STATE_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest time for which a node that has just started waits for its peers before it trusts the store. Callers' connections
+/// wait as long for the first configuration.
+const NEWER_CONFIG_TIMEOUT: Duration = Duration::from_millis(400);
 /// Consecutive failures that count as an outage of the store. A single one may be an interrupted watch
 /// request.
 const OUTAGE_FAILURES: u32 = 2;
@@ -77,6 +80,8 @@
     peers: Option<Arc<dyn PeerStateSource>>,
     /// When the full state was last requested from a peer.
     last_peer_request: Option<BootTime>,
+    /// Whether peers have been asked for a newer configuration than the first one of the store.
+    has_asked_peers: bool,
 }
 
 impl Discovery {
@@ -97,6 +102,7 @@
             poll_immediately: false,
             peers: None,
             last_peer_request: None,
+            has_asked_peers: false,
         }
     }
 
@@ -115,6 +121,12 @@
             self.follow_peer().await;
             let requested_at = BootTime::now();
             let result = self.fetch_update().await;
+            if let Ok((update, _)) = &result
+                && !self.has_asked_peers
+            {
+                self.has_asked_peers = true;
+                self.learn_newer_config(update).await;
+            }
             self.poll_immediately = false;
             self.detect_store_recovery(requested_at, result.is_ok());
             match result {
@@ -434,6 +446,25 @@
         self.state.record_peer_evidence(requested_at, evidence);
     }
 
+    /// Takes the configuration of a peer if it is newer than the one in the first response of the store. The store may have
+    /// returned from a copy that lacks it, which a node that has just started can't see.
+    async fn learn_newer_config(&self, update: &DiscoveryUpdate) {
+        let Some(peers) = &self.peers else {
+            return;
+        };
+        let version = update.config.as_ref().map_or(0, |config| config.version());
+        let fetched = timeout(NEWER_CONFIG_TIMEOUT, peers.fetch_newer_state(version)).await;
+        if let Ok(Some((requested_at, peer))) = fetched {
+            spdlog::warn!("the store lacks the newest configuration; taking it from a peer", kv: {
+                version = peer.evidence.version, store_version = version, position: = update.position
+            });
+            if self.state.apply_config(peer.config) {
+                self.changed.notify_one();
+            }
+            self.state.record_peer_evidence(requested_at, peer.evidence);
+        }
+    }
+
     /// Starts the grace period for missing entries when the store responds again after an outage.
     fn detect_store_recovery(&mut self, requested_at: BootTime, succeeded: bool) {
         let was_unavailable = self.consecutive_failures >= self.failures_of_outage;
--- a/crates/oleanderpost-serving/src/node_state.rs
+++ b/crates/oleanderpost-serving/src/node_state.rs
@@ -209,7 +209,7 @@
         let asked_at = requested_at.before(Duration::from_millis(evidence.age_ms));
         let own_version = self.config().map_or(0, |config| config.version());
         let mut history = self.history();
-        history.note_version(evidence.version);
+        history.note_peer_version(evidence.version);
         let holds =
             own_version >= evidence.version && history.is_settled(asked_at, evidence.position);
         drop(history);
--- a/crates/oleanderpost-serving/src/scheduler_client.rs
+++ b/crates/oleanderpost-serving/src/scheduler_client.rs
@@ -18,10 +18,10 @@
 
 use crate::{
     BootTime, CrashWatch, Decision, DecisionSink, Grant, HeldWork, Lease, NodeState, PeerChanges,
-    PeerLink, PeerState, PeerStateSource, RequestCrash, RequestFingerprint, RequestVerdicts,
-    SchedulerHost, SchedulerMessage, ServiceName, SignalVersion, StorePosition, Upstream,
-    UpstreamId, Work, WorkEnd, WorkId, boot_clock::BootClock, engine_finder::DEFAULT_RETRY_AFTER,
-    fleet_share::SETTLING_TIME, lease_owner::LeaseOwner,
+    PeerEvidence, PeerLink, PeerState, PeerStateSource, RequestCrash, RequestFingerprint,
+    RequestVerdicts, SchedulerHost, SchedulerMessage, ServiceName, SignalVersion, StorePosition,
+    Upstream, UpstreamId, Work, WorkEnd, WorkId, boot_clock::BootClock,
+    engine_finder::DEFAULT_RETRY_AFTER, fleet_share::SETTLING_TIME, lease_owner::LeaseOwner,
 };
 
 /// Timeout for the reply to a submitted request. The latency between two data centres is about one
@@ -99,6 +99,8 @@
     host: Arc<SchedulerHost>,
     client_state: Mutex<ClientState>,
     leader: watch::Sender<VmId>,
+    /// Whether a heartbeat has been answered, or has found no scheduler.
+    has_sent_heartbeat: watch::Sender<bool>,
     nodes: AtomicUsize,
     /// Peers that accept relayed requests.
     relays: Mutex<Vec<SocketAddr>>,
@@ -133,6 +135,7 @@
             host,
             client_state: Mutex::default(),
             leader: watch::Sender::new(first),
+            has_sent_heartbeat: watch::Sender::new(false),
             nodes: AtomicUsize::new(1),
             relays: Mutex::default(),
             offered_address: Mutex::default(),
@@ -451,6 +454,7 @@
     pub async fn run(&self) {
         loop {
             self.send_heartbeat().await;
+            self.has_sent_heartbeat.send_replace(true);
             sleep(HEARTBEAT_INTERVAL).await;
         }
     }
@@ -770,6 +774,20 @@
         }
     }
 
+    async fn fetch_newer_state(&self, config_version: u64) -> Option<(BootTime, PeerState)> {
+        let is_newer = |evidence: &PeerEvidence| evidence.version > config_version;
+        // The first seed sends its heartbeats to itself.
+        if !self.is_seed() {
+            let mut has_contact = self.has_sent_heartbeat.subscribe();
+            // The sender lives as long as this client.
+            let _ = has_contact.wait_for(|sent| *sent).await;
+            let evidence = self.node_state.recent_peer_evidence(STATE_TIMEOUT);
+            evidence.filter(is_newer)?;
+        }
+        let fetched = self.fetch_state().await;
+        fetched.filter(|(_, state)| is_newer(&state.evidence))
+    }
+
     fn may_follow(&self) -> bool {
         self.nodes() >= FOLLOWING_MIN_NODES && !self.is_seed()
     }
--- a/crates/oleanderpost-serving/src/store_history.rs
+++ b/crates/oleanderpost-serving/src/store_history.rs
@@ -32,6 +32,8 @@
     store_version: u64,
     /// Largest version of the configuration that any node has shown.
     newest_version: u64,
+    /// Largest version of the configuration that a peer has applied.
+    newest_of_peers: u64,
     /// Processes whose entries were removed.
     removed: HashMap<Process, Removal>,
 }
@@ -65,11 +67,23 @@
         self.newest_version = self.newest_version.max(version);
     }
 
+    /// Records a version of the configuration that a peer has applied.
+    pub fn note_peer_version(&mut self, version: u64) {
+        self.newest_of_peers = self.newest_of_peers.max(version);
+        self.note_version(version);
+    }
+
     /// Whether a response of the store to a request sent at `requested_at` is evidence that the configuration is
-    /// current: the store has not lost a newer one as far as is known, and has had the time to get it back.
+    /// current: the store has not lost a newer one as far as is known, and has had the time to get it back. A node that has
+    /// just started does not see that the store has returned from a copy, but its peers know the newer configuration.
     #[must_use]
     pub fn is_evidence(&self, requested_at: BootTime) -> bool {
-        let has_newest = self.era_began.is_none() || self.store_version >= self.newest_version;
+        let newest = if self.era_began.is_some() {
+            self.newest_version
+        } else {
+            self.newest_of_peers
+        };
+        let has_newest = self.store_version >= newest;
         has_newest && self.is_settled(requested_at, self.position)
     }
 
--- a/crates/oleanderpost-serving/tests/store_history.rs
+++ b/crates/oleanderpost-serving/tests/store_history.rs
@@ -77,6 +77,20 @@
     assert!(!history.is_evidence(at(60_000)), "a peer has a newer one");
 }
 
+/// Guards against a node that starts after the store has returned from a copy, and trusts the copy though a peer has told it
+/// of a newer configuration.
+#[test]
+fn store_without_the_configuration_of_a_peer_gives_no_evidence_to_a_node_that_has_just_started() {
+    let mut history = StoreHistory::default();
+    assert!(!history.advance(StorePosition::new(2, 40), at(0)));
+    history.note_store_version(10);
+    assert!(history.is_evidence(at(10)));
+    history.note_peer_version(13);
+    assert!(!history.is_evidence(at(60_000)));
+    history.note_store_version(13);
+    assert!(history.is_evidence(at(60_000)));
+}
+
 #[derive(Clone, Debug, TypeGenerator)]
 enum Step {
     /// The entry of an upstream is removed.
