Limit callers' connections by the configured head size, and buffers by stated lengths

The number of connections followed from a usual head size; a configuration with larger heads would have exceeded the share of memory. Buffers no longer grow beyond the length that the sender states, and events that wait for memory end with their caller.

--- a/crates/oleanderpost-serving/src/body_reader.rs
+++ b/crates/oleanderpost-serving/src/body_reader.rs
@@ -70,7 +70,7 @@
 /// Reads a body of up to `max_bytes` bytes within `limit`, and within the memory budget of `buf`.
 pub(crate) async fn read_metered<B, S>(
     body: B,
-    mut buf: MeteredBuf<S>,
+    buf: MeteredBuf<S>,
     max_bytes: usize,
     limit: Duration,
 ) -> Result<Bytes, BodyError>
@@ -78,6 +78,7 @@
     B: Body<Data = Bytes, Error: std::fmt::Display> + Unpin,
     S: Clone + Eq + Hash + Send + 'static,
 {
+    let mut buf = buf.with_stated_len(body.size_hint().exact());
     let revoked = buf.revocation();
     let read = read_pieces(body, max_bytes, |piece| buf.push(piece));
     let read = tokio::select! {
--- a/crates/oleanderpost-serving/src/caller_server.rs
+++ b/crates/oleanderpost-serving/src/caller_server.rs
@@ -29,11 +29,6 @@
 const MIN_READ_BUFFER: usize = 8 << 10;
 /// Bytes of a request head beyond the limit on its header fields, for the request line.
 const REQUEST_LINE_BYTES: usize = 8 << 10;
-/// Usual limit on the header fields of a request, in bytes.
-const USUAL_HEADER_BYTES: usize = 16 << 10;
-/// Most memory for the connections of one request, in bytes: its head, and the read buffer of the connection on which it
-/// is forwarded.
-const CONNECTION_BYTES: usize = USUAL_HEADER_BYTES + REQUEST_LINE_BYTES + READ_BUFFER_BYTES;
 /// Time that an idle connection stays open beyond the limit for callers, so that no request is sent while the
 /// connection is being closed.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
@@ -44,7 +39,10 @@
     entry: Arc<EntryContext>,
     handler: Arc<RequestHandler>,
     connections: Arc<CallerConnections>,
+    /// Most connections for the descriptors of the node.
     max_connections: usize,
+    /// Bytes for the buffers of connections.
+    memory: usize,
 }
 
 impl CallerServer {
@@ -57,15 +55,14 @@
         let address = settings.callers_listen;
         let listener =
             bind_listener(address).map_err(|source| Error::Listen { address, source })?;
-        let for_descriptors = (settings.descriptors as f64 * CALLER_DESCRIPTOR_SHARE) as usize;
-        let memory = MemoryLimits::new(settings.memory_mb);
-        let max_connections = for_descriptors.min(memory.connections / CONNECTION_BYTES);
+        let max_connections = (settings.descriptors as f64 * CALLER_DESCRIPTOR_SHARE) as usize;
         Ok(Self {
             listener,
             handler: Arc::new(RequestHandler::new(Arc::clone(&entry))),
             entry,
             connections: Arc::default(),
             max_connections,
+            memory: MemoryLimits::new(settings.memory_mb).connections,
         })
     }
 
@@ -98,8 +95,8 @@
                 () = self.connections.closing() => return,
             };
             match accepted {
-                Ok((stream, _)) if self.connections.open() >= self.max_connections => {
-                    spdlog::warn!("connection closed: too many open connections", kv: { open = self.max_connections });
+                Ok((stream, _)) if self.connections.open() >= self.max_connections() => {
+                    spdlog::warn!("connection closed: too many open connections", kv: { open = self.connections.open() });
                     drop(stream);
                 }
                 Ok((stream, _)) => self.spawn_connection(stream),
@@ -111,6 +108,13 @@
         }
     }
 
+    /// Most open connections. Each may take the memory of a request head, and of the read buffer of the connection on which
+    /// the request is forwarded.
+    fn max_connections(&self) -> usize {
+        let bytes = head_buffer_bytes(self.entry.limits()) + READ_BUFFER_BYTES;
+        self.max_connections.min(self.memory / bytes)
+    }
+
     fn spawn_connection(&self, stream: TcpStream) {
         let entry = Arc::clone(&self.entry);
         let handler = Arc::clone(&self.handler);
@@ -123,6 +127,11 @@
     }
 }
 
+/// Size of the buffer for the head of a request, in bytes.
+fn head_buffer_bytes(limits: CallerLimits) -> usize {
+    limits.header_bytes.max(MIN_READ_BUFFER) + REQUEST_LINE_BYTES
+}
+
 async fn serve_connection(
     stream: TcpStream,
     entry: &Arc<EntryContext>,
@@ -138,7 +147,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout + IDLE_TIMEOUT_MARGIN)
-        .max_buf_size(limits.header_bytes.max(MIN_READ_BUFFER) + REQUEST_LINE_BYTES)
+        .max_buf_size(head_buffer_bytes(limits))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let served = tokio::select! {
--- a/crates/oleanderpost-serving/src/event_queue.rs
+++ b/crates/oleanderpost-serving/src/event_queue.rs
@@ -63,7 +63,7 @@
         let bytes_left = Arc::clone(&self.bytes_left).acquire_many_owned(permits);
         let event = QueuedEvent {
             _bytes_left: bytes_left.await.map_err(|_| CallerGone)?,
-            _allocation: self.allocate(bytes.len(), upstream).await,
+            _allocation: self.allocate(bytes.len(), upstream).await?,
             bytes,
         };
         let sent = self.tx.send(Ok(Some(Bytes::from_owner(event)))).await;
@@ -87,13 +87,18 @@
     }
 
     /// Waits for memory. Events that wait for other callers free it when these read them.
-    async fn allocate(&self, bytes: usize, upstream: &UpstreamId) -> MemoryAllocation<UpstreamId> {
-        loop {
+    async fn allocate(
+        &self,
+        bytes: usize,
+        upstream: &UpstreamId,
+    ) -> Result<MemoryAllocation<UpstreamId>, CallerGone> {
+        while !self.tx.is_closed() {
             let mut allocation = self.memory.allocation(upstream);
             if allocation.resize(bytes).is_ok() && allocation.pin().is_ok() {
-                return allocation;
+                return Ok(allocation);
             }
             sleep(MEMORY_CHECK_INTERVAL).await;
         }
+        Err(CallerGone)
     }
 }
--- a/crates/oleanderpost-serving/src/metered_buf.rs
+++ b/crates/oleanderpost-serving/src/metered_buf.rs
@@ -20,6 +20,8 @@
 #[derive(Debug)]
 pub(crate) struct MeteredBuf<S: Clone + Eq + Hash> {
     buf: Vec<u8>,
+    /// Length that the sender states; nothing is allocated before it is needed, as the sender may be slow.
+    stated_len: Option<usize>,
     allocation: MemoryAllocation<S>,
 }
 
@@ -28,15 +30,26 @@
     pub(crate) fn new(budget: &Arc<MemoryBudget<S>>, source: &S) -> Self {
         Self {
             buf: Vec::new(),
+            stated_len: None,
             allocation: budget.allocation(source),
         }
     }
 
+    /// Sets the length that the sender states, beyond which the capacity does not grow in advance.
+    pub(crate) fn with_stated_len(self, stated_len: Option<u64>) -> Self {
+        Self {
+            stated_len: stated_len.and_then(|len| usize::try_from(len).ok()),
+            ..self
+        }
+    }
+
     /// Appends bytes.
     pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<(), OutOfMemory> {
         let needed = self.buf.len() + bytes.len();
         if needed > self.buf.capacity() {
-            let preferred = needed.max(2 * self.buf.capacity()).max(MIN_CAPACITY);
+            let doubled = (2 * self.buf.capacity()).max(MIN_CAPACITY);
+            let useful = self.stated_len.unwrap_or(doubled);
+            let preferred = doubled.min(useful).max(needed);
             let capacity = self.allocation.grow(needed, preferred)?;
             self.buf.reserve_exact(capacity - self.buf.len());
         }
--- a/crates/oleanderpost-serving/src/request_handler.rs
+++ b/crates/oleanderpost-serving/src/request_handler.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use tokio::time::timeout;
 
 use crate::{
@@ -171,7 +171,8 @@
             .min(route.timeout)
             .min(deadline.unwrap_or(MAX_BODY_TIME));
         let max_bytes = config.caller_limits().body_bytes;
-        let buf = MeteredBuf::new(&self.entry.request_memory, &());
+        let buf = MeteredBuf::new(&self.entry.request_memory, &())
+            .with_stated_len(body.size_hint().exact());
         let revoked = buf.revocation();
         let collected = collect_body(Limited::new(body, max_bytes), buf);
         tokio::select! {
--- a/crates/oleanderpost-serving/src/scheduler_client.rs
+++ b/crates/oleanderpost-serving/src/scheduler_client.rs
@@ -781,7 +781,7 @@
             let mut has_contact = self.has_sent_heartbeat.subscribe();
             // The sender lives as long as this client.
             let _ = has_contact.wait_for(|sent| *sent).await;
-            let evidence = self.node_state.recent_peer_evidence(STATE_TIMEOUT);
+            let evidence = self.node_state.recent_peer_evidence(Duration::MAX);
             evidence.filter(is_newer)?;
         }
         let fetched = self.fetch_state().await;
