--- a/crates/oleanderpost-serving/src/body_reader.rs
+++ b/crates/oleanderpost-serving/src/body_reader.rs
@@ -99,6 +99,10 @@
     B: Body<Data = Bytes, Error: std::fmt::Display> + Unpin,
     BodyError: From<E>,
 {
+    // A stated length shows it before the first byte.
+    if body.size_hint().lower() > max_bytes as u64 {
+        return Err(BodyError::TooLarge);
+    }
     let mut counted_bytes = 0;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|e| BodyError::Disconnected(e.to_string()))?;
