Ask peers for less at the start of a node, and wait for them for 0.1 s

When all nodes start at once, no peer has an answer and callers wait in vain. Peers that run answer within some tens of milliseconds.

--- a/crates/oleanderpost-serving/src/discovery.rs
+++ b/crates/oleanderpost-serving/src/discovery.rs
@@ -56,9 +56,9 @@
 const NEW_ERA_READ_SPREAD: Duration = Duration::from_millis(1_000);
 /// Minimum interval between requests for the full state of a peer.
 const PEER_STATE_INTERVAL: Duration = Duration::from_secs(1);
-/// Longest time for which a node that has just started waits for its peers before it trusts the store. Callers' connections
-/// wait as long for the first configuration.
-const NEWER_CONFIG_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest time for which a node that has just started waits for its peers before it trusts the store. Peers that run answer
+/// within some tens of milliseconds; if all start at once, none has an answer, and callers wait.
+const NEWER_CONFIG_TIMEOUT: Duration = Duration::from_millis(100);
 /// Consecutive failures that count as an outage of the store. A single one may be an interrupted watch
 /// request.
 const OUTAGE_FAILURES: u32 = 2;
@@ -453,7 +453,8 @@
             return;
         };
         let version = update.config.as_ref().map_or(0, |config| config.version());
-        let fetched = timeout(NEWER_CONFIG_TIMEOUT, peers.fetch_newer_state(version)).await;
+        let fetched = peers.fetch_newer_state(update.position, version);
+        let fetched = timeout(NEWER_CONFIG_TIMEOUT, fetched).await;
         if let Ok(Some((requested_at, peer))) = fetched {
             spdlog::warn!("the store lacks the newest configuration; taking it from a peer", kv: {
                 version = peer.evidence.version, store_version = version, position: = update.position
--- a/crates/oleanderpost-serving/src/peer_state_source.rs
+++ b/crates/oleanderpost-serving/src/peer_state_source.rs
@@ -16,9 +16,14 @@
         config_version: u64,
     ) -> Option<(BootTime, PeerChanges)>;
 
-    /// Waits for the first evidence of a peer after the start of this node. Returns the state of a peer whose configuration
-    /// is newer than `config_version`, with the time of the request; `None` if no peer that responds has a newer one.
-    async fn fetch_newer_state(&self, config_version: u64) -> Option<(BootTime, PeerState)>;
+    /// Waits for the first evidence of a peer after the start of this node, which has read the store at `position`. Returns
+    /// the state of a peer whose configuration is newer than `config_version`, with the time of the request; `None` if no
+    /// peer that responds has a newer one.
+    async fn fetch_newer_state(
+        &self,
+        position: StorePosition,
+        config_version: u64,
+    ) -> Option<(BootTime, PeerState)>;
 
     /// Whether this node should follow a peer in place of the store: the fleet is large, and other nodes read
     /// the store.
--- a/crates/oleanderpost-serving/src/scheduler_client.rs
+++ b/crates/oleanderpost-serving/src/scheduler_client.rs
@@ -736,6 +736,48 @@
     }
 }
 
+impl SchedulerClient {
+    /// Requests the changes since a position and a version of the configuration from a seed.
+    async fn ask_changes(
+        &self,
+        seed: &VmId,
+        after: StorePosition,
+        config_version: u64,
+    ) -> Option<(BootTime, PeerChanges)> {
+        let sent_at = BootTime::now();
+        let msg = SchedulerMessage::AskChanges {
+            after: after.revision,
+            era: after.era,
+            config_version: Some(config_version),
+        };
+        match self.exchange(seed, msg, STATE_TIMEOUT).await {
+            Some(SchedulerMessage::Changes {
+                changes: Some(changes),
+            }) => Some((sent_at, *changes)),
+            _ => None,
+        }
+    }
+
+    /// Evidence of the first other seed that has some. It comes with the changes since `position`, which are few, unlike the
+    /// full state.
+    async fn evidence_of_other_seed(
+        &self,
+        position: StorePosition,
+        config_version: u64,
+    ) -> Option<PeerEvidence> {
+        for seed in self.schedulers_by_preference() {
+            if seed == self.own_id {
+                continue;
+            }
+            let asked = self.ask_changes(&seed, position, config_version).await;
+            if let Some((_, changes)) = asked {
+                return Some(changes.evidence);
+            }
+        }
+        None
+    }
+}
+
 #[async_trait::async_trait]
 impl PeerStateSource for SchedulerClient {
     async fn fetch_state(&self) -> Option<(BootTime, PeerState)> {
@@ -760,30 +802,25 @@
         config_version: u64,
     ) -> Option<(BootTime, PeerChanges)> {
         let leader = self.leader();
-        let sent_at = BootTime::now();
-        let msg = SchedulerMessage::AskChanges {
-            after: after.revision,
-            era: after.era,
-            config_version: Some(config_version),
-        };
-        match self.exchange(&leader, msg, STATE_TIMEOUT).await {
-            Some(SchedulerMessage::Changes {
-                changes: Some(changes),
-            }) => Some((sent_at, *changes)),
-            _ => None,
-        }
+        self.ask_changes(&leader, after, config_version).await
     }
 
-    async fn fetch_newer_state(&self, config_version: u64) -> Option<(BootTime, PeerState)> {
+    async fn fetch_newer_state(
+        &self,
+        position: StorePosition,
+        config_version: u64,
+    ) -> Option<(BootTime, PeerState)> {
         let is_newer = |evidence: &PeerEvidence| evidence.version > config_version;
-        // The first seed sends its heartbeats to itself.
-        if !self.is_seed() {
+        let evidence = if self.is_seed() {
+            // The first seed sends its heartbeats to itself.
+            self.evidence_of_other_seed(position, config_version).await
+        } else {
             let mut has_contact = self.has_sent_heartbeat.subscribe();
             // The sender lives as long as this client.
             let _ = has_contact.wait_for(|sent| *sent).await;
-            let evidence = self.node_state.recent_peer_evidence(Duration::MAX);
-            evidence.filter(is_newer)?;
-        }
+            self.node_state.recent_peer_evidence(Duration::MAX)
+        };
+        evidence.filter(is_newer)?;
         let fetched = self.fetch_state().await;
         fetched.filter(|(_, state)| is_newer(&state.evidence))
     }
--- a/crates/oleanderpost-serving/tests/following.rs
+++ b/crates/oleanderpost-serving/tests/following.rs
@@ -178,7 +178,11 @@
         (!self.silent.load(Ordering::Relaxed)).then_some((BootTime::now(), changes))
     }
 
-    async fn fetch_newer_state(&self, config_version: u64) -> Option<(BootTime, PeerState)> {
+    async fn fetch_newer_state(
+        &self,
+        _position: StorePosition,
+        config_version: u64,
+    ) -> Option<(BootTime, PeerState)> {
         let fetched = self.fetch_state().await;
         fetched.filter(|(_, state)| state.evidence.version > config_version)
     }
@@ -215,7 +219,11 @@
         None
     }
 
-    async fn fetch_newer_state(&self, _config_version: u64) -> Option<(BootTime, PeerState)> {
+    async fn fetch_newer_state(
+        &self,
+        _position: StorePosition,
+        _config_version: u64,
+    ) -> Option<(BootTime, PeerState)> {
         None
     }
 
