Wait for peers at the start only if the store states an era

Only a store that returns from copies states an era; without one a node that starts has nothing to wait for.

--- a/crates/oleanderpost-serving/src/discovery.rs
+++ b/crates/oleanderpost-serving/src/discovery.rs
@@ -447,9 +447,10 @@
     }
 
     /// Takes the configuration of a peer if it is newer than the one in the first response of the store. The store may have
-    /// returned from a copy that lacks it, which a node that has just started can't see.
+    /// returned from a copy that lacks it, which a node that has just started can't see. A store that states no era does not
+    /// return from copies, so that there is nothing to wait for.
     async fn learn_newer_config(&self, update: &DiscoveryUpdate) {
-        let Some(peers) = &self.peers else {
+        let Some(peers) = self.peers.as_ref().filter(|_| update.position.era > 0) else {
             return;
         };
         let version = update.config.as_ref().map_or(0, |config| config.version());
