Add review case 12: a request that crashes engines is sent again from all nodes

A request that crashes three engines within 100 ms is quarantined for 2 s only, and then reaches engines from every node at the same moment.

--- a/review/standin-3/engine.rs
+++ b/review/standin-3/engine.rs
@@ -22,6 +22,8 @@
 const EVENT_INTERVAL: Duration = Duration::from_millis(44);
 /// Work of a plain request.
 const WORK: Duration = Duration::from_millis(15);
+/// Time from the arrival of a request that crashes the engine until the crash.
+const TIME_TO_CRASH: Duration = Duration::from_millis(5);
 /// Time from a crash until the engine is back.
 const DOWN: Duration = Duration::from_millis(2_000);
 /// Requests that an engine runs at once.
@@ -75,6 +77,8 @@
 pub struct Trouble {
     /// Part of a prompt that crashes each engine which begins to write an answer on it.
     pub crashing_part: Option<String>,
+    /// Path of a request that crashes each engine which begins to run it.
+    pub crashing_path: Option<String>,
 }
 
 struct Process {
@@ -321,6 +325,11 @@
             "{common}X-Engine-Stamp: {}.{id}\r\nX-Engine-Load: {running},0,{slots}\r\nKeep-Alive: timeout=30\r\n",
             process.id
         );
+        if self.trouble.crashing_path.as_deref() == Some(req.path()) {
+            thread::sleep(TIME_TO_CRASH);
+            self.crash(process);
+            return Ok(false);
+        }
         let answered = if self.is_model() {
             self.stream(process, req, &common, out)
         } else {
--- a/review/standin-3/http.rs
+++ b/review/standin-3/http.rs
@@ -72,7 +72,6 @@
 #[derive(Clone, Debug)]
 pub struct Answer {
     pub status: u16,
-    pub headers: Headers,
     pub body: Vec<u8>,
     /// Whether the body ended as its framing says.
     pub is_whole: bool,
@@ -97,7 +96,6 @@
     let is_whole = body.is_ok();
     Ok(Answer {
         status,
-        headers,
         body: body.unwrap_or_default(),
         is_whole,
     })
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -4,6 +4,8 @@
 //! held and 2 if the case could not run. With `TROUBLE=0` in the environment, it leaves the disruption out.
 
 mod case_11;
+mod case_12;
+mod case_13;
 mod engine;
 mod http;
 mod node;
@@ -32,6 +34,8 @@
     fs::create_dir_all(&dir).expect("a temporary folder");
     let run = match case.as_str() {
         "11" => case_11::run,
+        "12" => case_12::run,
+        "13" => case_13::run,
         _ => {
             eprintln!("no case {case}");
             process::exit(2);
