Add review case 14: engines that refuse and close a channel are never used again

A node takes a 503 with X-Not-Run and Connection: close for the word of an engine that leaves, and excludes its process for good, although it is listed as ready.

--- a/review/standin-3/engine.rs
+++ b/review/standin-3/engine.rs
@@ -102,10 +102,10 @@
     starts: AtomicUsize,
     busy: AtomicUsize,
     next_connection: AtomicU64,
-    /// Share of its requests that it sheds, in percent.
+    /// Share of its requests that it turns away, in percent. It closes their channels.
     pub shed_percent: AtomicUsize,
-    /// Number of requests that the share applies to, and of those that were shed.
-    shed_counts: (AtomicUsize, AtomicUsize),
+    /// Number of requests that the share applies to.
+    shed_count: AtomicUsize,
     /// Held while a prompt is read.
     reading: Mutex<()>,
 }
@@ -136,7 +136,7 @@
             busy: AtomicUsize::new(0),
             next_connection: AtomicU64::new(0),
             shed_percent: AtomicUsize::new(0),
-            shed_counts: Default::default(),
+            shed_count: AtomicUsize::new(0),
             reading: Mutex::new(()),
         });
         engine.start_process(listener);
@@ -294,18 +294,11 @@
             was_cut: false,
         });
         if self.sheds() {
-            // `Connection: close` appears in some answers of engines that stay.
-            let closes = self.shed_counts.1.fetch_add(1, Ordering::SeqCst) % 4 == 3;
-            let connection = if closes { "Connection: close\r\n" } else { "" };
             self.record
-                .note(&format!("ENGINE {} sheds {id} closes={closes}", process.id));
-            write_answer(
-                out,
-                503,
-                &format!("{common}X-Not-Run: 1\r\n{connection}"),
-                "",
-            )?;
-            return Ok(!closes);
+                .note(&format!("ENGINE {} turns {id} away", process.id));
+            let headers = format!("{common}X-Not-Run: 1\r\nConnection: close\r\n");
+            write_answer(out, 503, &headers, "")?;
+            return Ok(false);
         }
         self.record.note(&format!(
             "ENGINE {} runs {id} tenant={} parts={}",
@@ -345,13 +338,13 @@
         Ok(!process.has_crashed.load(Ordering::SeqCst))
     }
 
-    /// Whether the next request is one of the share that is shed.
+    /// Whether the next request is one of the share that is turned away.
     fn sheds(&self) -> bool {
         let percent = self.shed_percent.load(Ordering::SeqCst);
         if percent == 0 {
             return false;
         }
-        let n = self.shed_counts.0.fetch_add(1, Ordering::SeqCst);
+        let n = self.shed_count.fetch_add(1, Ordering::SeqCst);
         (n + 1) * percent / 100 > n * percent / 100
     }
 
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -6,6 +6,7 @@
 mod case_11;
 mod case_12;
 mod case_13;
+mod case_14;
 mod engine;
 mod http;
 mod node;
@@ -36,6 +37,7 @@
         "11" => case_11::run,
         "12" => case_12::run,
         "13" => case_13::run,
+        "14" => case_14::run,
         _ => {
             eprintln!("no case {case}");
             process::exit(2);
