Add review case 12: a node without state lets the others overrun engines' limits

A first seed that restarts while the store is silent schedules for all others before it knows any engine, and grants them any number of requests to engines that name a Server-Limit.

--- /dev/null
+++ b/review/15/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Plays the case; exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review-3/standin-3 ] || exit 2
+exec timeout -k 5 115 target/review-3/standin-3 15 review/15
--- a/review/standin-3/case_12.rs
+++ b/review/standin-3/case_12.rs
@@ -1,155 +1,167 @@
-//! A request crashes the engines that run it, and comes again from several clients at the same moment.
+//! A node that restarts while the store is silent schedules for all others before it knows any engine, and allows
+//! any number of requests to engines that limit them.
 
 use std::{
+    collections::HashMap,
     path::Path,
-    sync::Arc,
+    sync::{Arc, Mutex},
     thread,
     time::{Duration, Instant},
 };
 
 use crate::{
-    engine::{Arrivals, Crashes, Engine, Trouble},
+    engine::{Arrival, Arrivals, Crashes, Engine, Trouble},
     node::Fleet,
     platform::{Call, Config},
     record::Record,
     store::Store,
 };
 
+/// Requests a second that each engine takes.
+const LIMIT: f64 = 4.0;
+/// Interval of the requests.
+const INTERVAL: Duration = Duration::from_millis(17);
+/// Times, from the first request on.
+const NAMED_AT: Duration = Duration::from_millis(1_000);
+const SILENT_AT: Duration = Duration::from_millis(8_000);
+const KILLED_AT: Duration = Duration::from_millis(8_100);
+const STARTED_AT: Duration = Duration::from_millis(8_600);
+const BACK_AT: Duration = Duration::from_millis(12_500);
+const END: Duration = Duration::from_millis(17_000);
 /// `contactMs` of the site.
 const CONTACT_MS: u64 = 3_000;
-/// Retries of the request that may reach engines later than that after the third crash.
-const ALLOWED: usize = 3;
-/// Path of the request.
-const PATH: &str = "/safe/deadly";
-/// How often the clients ask, and the time between.
-const ROUNDS: usize = 3;
-const ROUND_INTERVAL: Duration = Duration::from_millis(4_000);
-/// Interval of the sound requests.
-const SOUND_INTERVAL: Duration = Duration::from_millis(50);
+/// Window of the rule, and the time after which a machine is bound by an answer that it has passed on.
+const WINDOW_MS: u64 = 4_000;
+const BOUND_AFTER_MS: u64 = 500;
 
 /// Runs the case; returns whether the rule was broken.
 pub fn run(dir: &Path, record: &Record, has_trouble: bool) -> bool {
     let store = Store::start();
     let (arrivals, crashes) = (Arrivals::default(), Crashes::default());
-    let trouble = Trouble {
-        crashing_path: has_trouble.then(|| PATH.to_owned()),
-        ..Trouble::default()
-    };
     let config = Config {
         version: 7,
         keys: vec!["key-a"],
         more_routes: 0,
     };
     store.put("op/config", &config.to_json());
-    let _engines: Vec<_> = ["hall-a", "hall-b", "hall-c"]
+    let engines: Vec<_> = ["hall-a", "hall-b", "hall-c"]
         .iter()
         .map(|zone| {
+            let trouble = Trouble::default();
             Engine::start(
                 zone, "api", zone, &store, record, &trouble, &arrivals, &crashes,
             )
         })
         .collect();
-    let fleet = Arc::new(Fleet::start(dir, store.address(), record));
+    let fleet = Fleet::start(dir, store.address(), record);
+    let fronts: Vec<_> = fleet.nodes.iter().map(|node| node.front).collect();
+    let fleet = Arc::new(Mutex::new(fleet));
     let started = Instant::now();
-    let mut clients = Vec::new();
-    for node in 0..fleet.nodes.len() {
-        let (fleet, record) = (Arc::clone(&fleet), record.clone());
-        clients.push(thread::spawn(move || {
-            for round in 0..ROUNDS {
-                let at = ROUND_INTERVAL * u32::try_from(round).expect("a few");
-                thread::sleep(at.saturating_sub(started.elapsed()));
-                send(
-                    &fleet,
-                    &record,
-                    node,
-                    &format!("deadly-{round}-{node}"),
-                    "GET",
-                    PATH,
-                );
+    let sender = {
+        let record = record.clone();
+        thread::spawn(move || {
+            let mut clients = Vec::new();
+            for n in 0_usize.. {
+                if started.elapsed() >= END {
+                    break;
+                }
+                let (record, node) = (record.clone(), n % fronts.len());
+                let front = fronts[node];
+                clients.push(thread::spawn(move || {
+                    let id = format!("r-{node}-{n}");
+                    let call = Call {
+                        method: "GET",
+                        path: "/safe/alarm",
+                        id: &id,
+                        key: "key-a",
+                        deadline: Duration::from_millis(1_000),
+                        headers: String::new(),
+                        body: "",
+                    };
+                    let answer = call.send(front).map(|answer| answer.status);
+                    record.note(&format!("CLIENT {id}: {answer:?}"));
+                }));
+                thread::sleep(INTERVAL);
             }
-        }));
-    }
-    let end = ROUND_INTERVAL * u32::try_from(ROUNDS).expect("a few");
-    for n in 0.. {
-        if started.elapsed() >= end {
-            break;
-        }
-        let (fleet, record) = (Arc::clone(&fleet), record.clone());
-        clients.push(thread::spawn(move || {
-            let to = n % fleet.nodes.len();
-            send(
-                &fleet,
-                &record,
-                to,
-                &format!("sound-{n}"),
-                "POST",
-                "/once/booking",
-            );
-        }));
-        thread::sleep(SOUND_INTERVAL);
+            for client in clients {
+                client.join().expect("no panic");
+            }
+        })
+    };
+    let sleep_until = |at: Duration| thread::sleep(at.saturating_sub(started.elapsed()));
+    sleep_until(NAMED_AT);
+    let named_ms = record.ms();
+    for engine in &engines {
+        *engine.limit.lock().expect("no panic") = Some(LIMIT);
     }
-    for client in clients {
-        client.join().expect("no panic");
+    record.note(&format!("ENGINES name Server-Limit: {LIMIT}"));
+    let mut killed_ms = u64::MAX;
+    if has_trouble {
+        sleep_until(SILENT_AT);
+        store.set_silent(true);
+        record.note("STORE is silent");
+        sleep_until(KILLED_AT);
+        killed_ms = record.ms();
+        fleet.lock().expect("no panic").nodes[0].kill();
+        record.note("front-hall-a-1 is killed");
+        sleep_until(STARTED_AT);
+        fleet.lock().expect("no panic").nodes[0].start();
+        record.note("front-hall-a-1 starts again");
+        sleep_until(BACK_AT);
+        store.set_silent(false);
+        record.note("STORE answers again");
     }
-    judge(record, &arrivals, &crashes, has_trouble)
+    sender.join().expect("no panic");
+    judge(record, &arrivals.all(), named_ms, killed_ms)
 }
 
-fn send(fleet: &Fleet, record: &Record, node: usize, id: &str, method: &str, path: &str) {
-    let call = Call {
-        method,
-        path,
-        id,
-        key: "key-a",
-        deadline: Duration::from_millis(1_000),
-        headers: String::new(),
-        body: if method == "POST" { id } else { "" },
-    };
-    let sent_ms = record.ms();
-    let name = &fleet.nodes[node].name;
-    match call.send(fleet.nodes[node].front) {
-        Ok(answer) => record.note(&format!(
-            "CLIENT {id} to {name} sent at {sent_ms}: {}",
-            answer.status
-        )),
-        Err(e) => record.note(&format!("CLIENT {id} to {name} sent at {sent_ms}: {e}")),
-    }
+/// Node to which the client sent the request.
+fn node(arrival: &Arrival) -> &str {
+    arrival.id.split('-').nth(1).unwrap_or("")
 }
 
-fn judge(record: &Record, arrivals: &Arrivals, crashes: &Crashes, has_trouble: bool) -> bool {
-    let crashes = crashes.all();
-    let Some(third) = crashes.get(2) else {
-        record.note(&format!("RESULT {} crashes", crashes.len()));
-        if has_trouble {
-            crate::cannot_run("there were fewer than three crashes");
+fn judge(record: &Record, arrivals: &[Arrival], named_ms: u64, killed_ms: u64) -> bool {
+    let allowed = (LIMIT * WINDOW_MS as f64 / 1e3 * 1.5 + 5.0) as usize;
+    let mut is_broken = false;
+    for engine in ["i-hall-a-0", "i-hall-b-0", "i-hall-c-0"] {
+        let at_engine = |arrival: &&Arrival| arrival.engine == engine && arrival.at_ms > named_ms;
+        // When each node first got an answer that names the limit.
+        let mut told: HashMap<&str, u64> = HashMap::new();
+        for arrival in arrivals
+            .iter()
+            .filter(at_engine)
+            .filter(|arrival| arrival.has_run)
+        {
+            told.entry(node(arrival)).or_insert(arrival.at_ms);
         }
-        return false;
-    };
-    let all = arrivals.all();
-    let late: Vec<_> = all
-        .iter()
-        .filter(|arrival| arrival.id.starts_with("deadly") && arrival.at_ms > third + CONTACT_MS)
-        .collect();
-    for arrival in &late {
+        let is_bound = |arrival: &&Arrival| {
+            let since = told.get(node(arrival)).map(|at| at + BOUND_AFTER_MS);
+            // A restart excuses the node that was killed.
+            let is_excused = node(arrival) == "0" && arrival.at_ms >= killed_ms;
+            let is_counted = arrival.at_ms >= named_ms + CONTACT_MS && !is_excused;
+            is_counted && since.is_some_and(|since| arrival.at_ms > since)
+        };
+        let times: Vec<u64> = arrivals
+            .iter()
+            .filter(at_engine)
+            .filter(is_bound)
+            .map(|arrival| arrival.at_ms)
+            .collect();
+        let in_window = |from: &u64| {
+            times
+                .iter()
+                .filter(|at| (*from..from + WINDOW_MS).contains(at))
+                .count()
+        };
+        let (most, from) = times
+            .iter()
+            .map(|from| (in_window(from), *from))
+            .max()
+            .unwrap_or((0, 0));
+        is_broken |= most > allowed;
         record.note(&format!(
-            "LATE {} reached {} at {}, {} ms after the third crash",
-            arrival.id,
-            arrival.engine,
-            arrival.at_ms,
-            arrival.at_ms - third
+            "RESULT {engine}: {most} requests of bound machines in the 4 s from {from} on, {allowed} allowed"
         ));
     }
-    let cut =
-        |arrival: &&crate::engine::Arrival| arrival.id.starts_with("sound") && arrival.was_cut;
-    let cut_late = all
-        .iter()
-        .filter(cut)
-        .filter(|arrival| arrival.at_ms > third + CONTACT_MS)
-        .count();
-    record.note(&format!(
-        "RESULT {} requests reached engines later than {CONTACT_MS} ms after the third crash; {} crashes; {cut_late} \
-         sound requests were cut off by crashes after that time",
-        late.len(),
-        crashes.len()
-    ));
-    late.len() > ALLOWED
+    is_broken
 }
--- a/review/standin-3/engine.rs
+++ b/review/standin-3/engine.rs
@@ -106,6 +106,8 @@
     pub shed_percent: AtomicUsize,
     /// Number of requests that the share applies to.
     shed_count: AtomicUsize,
+    /// Requests a second that it says it takes from all machines together.
+    pub limit: Mutex<Option<f64>>,
     /// Held while a prompt is read.
     reading: Mutex<()>,
 }
@@ -137,6 +139,7 @@
             next_connection: AtomicU64::new(0),
             shed_percent: AtomicUsize::new(0),
             shed_count: AtomicUsize::new(0),
+            limit: Mutex::default(),
             reading: Mutex::new(()),
         });
         engine.start_process(listener);
@@ -314,8 +317,10 @@
         } else {
             PLAIN_SLOTS
         };
+        let limit = *self.limit.lock().expect("no panic");
+        let limit = limit.map_or(String::new(), |limit| format!("Server-Limit: {limit}\r\n"));
         let common = format!(
-            "{common}X-Engine-Stamp: {}.{id}\r\nX-Engine-Load: {running},0,{slots}\r\nKeep-Alive: timeout=30\r\n",
+            "{common}X-Engine-Stamp: {}.{id}\r\nX-Engine-Load: {running},0,{slots}\r\nKeep-Alive: timeout=30\r\n{limit}",
             process.id
         );
         if self.trouble.crashing_path.as_deref() == Some(req.path()) {
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -7,6 +7,7 @@
 mod case_12;
 mod case_13;
 mod case_14;
+mod case_15;
 mod engine;
 mod http;
 mod node;
@@ -38,6 +39,7 @@
         "12" => case_12::run,
         "13" => case_13::run,
         "14" => case_14::run,
+        "15" => case_15::run,
         _ => {
             eprintln!("no case {case}");
             process::exit(2);
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -31,6 +31,7 @@
     contents: Contents,
     era: u64,
     is_away: bool,
+    is_silent: bool,
 }
 
 struct Shared {
@@ -58,6 +59,7 @@
             contents,
             era: 1,
             is_away: false,
+            is_silent: false,
         };
         let shared = Arc::new(Shared {
             state: Mutex::new(state),
@@ -120,6 +122,12 @@
         self.shared.changed.notify_all();
     }
 
+    /// Stops to answer, or goes on. A channel on which an answer was due stays silent.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.lock().is_silent = is_silent;
+        self.shared.changed.notify_all();
+    }
+
     /// Comes back from a copy, in a new era.
     pub fn come_back(&self, copy: Contents) {
         let mut state = self.lock();
@@ -138,7 +146,9 @@
         let mut from = BufReader::new(stream);
         // The node may close the connection at any time.
         while let Ok(Some(req)) = Request::read(&mut from) {
-            let (status, era, body) = self.answer(&req);
+            let Some((status, era, body)) = self.answer(&req) else {
+                return self.stay_silent(&mut from);
+            };
             let head = format!(
                 "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nStore-Era: {era}\r\nContent-Length: {}\r\n\r\n",
                 body.len()
@@ -152,20 +162,28 @@
         }
     }
 
-    fn answer(&self, req: &Request) -> (u16, u64, String) {
-        let away = |state: &State| (503, state.era, r#"{"err":"busy"}"#.to_owned());
+    /// Keeps a channel open until the node closes it.
+    fn stay_silent(&self, from: &mut BufReader<TcpStream>) {
+        while matches!(Request::read(from), Ok(Some(_))) {}
+    }
+
+    /// The answer to a request; `None` if the store is silent.
+    fn answer(&self, req: &Request) -> Option<(u16, u64, String)> {
+        let away = |state: &State| Some((503, state.era, r#"{"err":"busy"}"#.to_owned()));
         let mut state = self.lock();
+        if state.is_silent {
+            return None;
+        }
         if state.is_away {
             return away(&state);
         }
         match req.path() {
-            "/v1/kv-range" => (
-                200,
-                state.era,
-                state
+            "/v1/kv-range" => {
+                let range = state
                     .contents
-                    .range(req.query("prefix"), req.query("after")),
-            ),
+                    .range(req.query("prefix"), req.query("after"));
+                Some((200, state.era, range))
+            }
             "/v1/kv-watch" => {
                 let prefix = req.query("prefix").to_owned();
                 let after = req.query("after").parse().unwrap_or(0);
@@ -173,11 +191,15 @@
                 let deadline = Instant::now() + wait;
                 let era = state.era;
                 loop {
+                    if state.is_silent {
+                        return None;
+                    }
                     if state.is_away {
                         return away(&state);
                     }
                     if state.era != era || after > state.contents.revision {
-                        return (410, state.era, r#"{"err":"history is gone"}"#.to_owned());
+                        let body = r#"{"err":"history is gone"}"#.to_owned();
+                        return Some((410, state.era, body));
                     }
                     let events = state.contents.events(&prefix, after);
                     let left = deadline.saturating_duration_since(Instant::now());
@@ -187,7 +209,7 @@
                             events.join(","),
                             state.contents.revision
                         );
-                        return (200, state.era, body);
+                        return Some((200, state.era, body));
                     }
                     state = self
                         .shared
@@ -197,7 +219,7 @@
                         .0;
                 }
             }
-            _ => (404, state.era, r#"{"err":"no such call"}"#.to_owned()),
+            _ => Some((404, state.era, r#"{"err":"no such call"}"#.to_owned())),
         }
     }
 }
